--- /dev/null
+++ b/src/admin/admin_server.hpp
@@ -0,0 +1,58 @@
+// The operators' endpoint: /metrics, /status, /explain and /where.
+#ifndef YUCCAFALL_ADMIN_ADMIN_SERVER_HPP
+#define YUCCAFALL_ADMIN_ADMIN_SERVER_HPP
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include "admin/state.hpp"
+#include "http/query.hpp"
+#include "http/server.hpp"
+
+namespace yuccafall::admin {
+
+// Where another node answers operators.
+struct node_place
+{
+    core::endpoint operators;
+    core::data_centre data_centre;
+};
+
+struct admin_sources
+{
+    std::function<node_state()> state;
+    // All nodes that are known, this one included.
+    std::function<std::vector<node_place>()> nodes;
+};
+
+// Invariant: used on the control thread.
+class admin_server : public std::enable_shared_from_this<admin_server>
+{
+public:
+    static core::result<std::shared_ptr<admin_server>>
+    listen(boost::asio::io_context& context, core::endpoint const& at,
+           admin_sources sources);
+
+    admin_server(boost::asio::io_context& context, admin_sources sources)
+        : context_(context), sources_(std::move(sources))
+    {}
+
+    core::endpoint local() const { return server_->local(); }
+    void stop() { server_->stop(); }
+
+private:
+    using connection = std::shared_ptr<http::server_connection>;
+
+    void handle(connection const& caller, http::request const& it);
+    void where(connection const& caller, http::split_target const& target);
+
+    boost::asio::io_context& context_;
+    admin_sources sources_;
+    std::shared_ptr<http::server> server_;
+};
+
+} // namespace yuccafall::admin
+
+#endif
--- /dev/null
+++ b/src/admin/metrics.cpp
@@ -0,0 +1,172 @@
+// Metric families by prometheus-cpp's types.
+//
+// The counters are plain atomics of their slices, so that traffic threads do
+// not pay for the library's metric objects, and are copied at each scrape.
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include "admin/process_usage.hpp"
+#include "admin/replies.hpp"
+#include "core/log.hpp"
+
+namespace yuccafall::admin {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+using families = std::vector<MetricFamily>;
+
+constexpr double ms_per_second = 1e3;
+
+MetricFamily& family(families& out, char const* name, char const* help,
+                     MetricType type)
+{
+    out.emplace_back();
+    out.back().name = name;
+    out.back().help = help;
+    out.back().type = type;
+    return out.back();
+}
+
+void add_value(MetricFamily& to, double value,
+               std::vector<ClientMetric::Label> labels = {})
+{
+    ClientMetric it;
+    it.label = std::move(labels);
+    (to.type == MetricType::Counter ? it.counter.value : it.gauge.value) =
+        value;
+    to.metric.push_back(std::move(it));
+}
+
+template <class Number>
+void counter(families& out, char const* name, char const* help, Number value)
+{
+    add_value(family(out, name, help, MetricType::Counter),
+              static_cast<double>(value));
+}
+
+template <class Number>
+void gauge(families& out, char const* name, char const* help, Number value)
+{
+    add_value(family(out, name, help, MetricType::Gauge),
+              static_cast<double>(value));
+}
+
+void add_control(families& out, control_status const& it)
+{
+    gauge(out, "yuccafall_ready", "1 if the node takes callers.",
+          it.ready ? 1 : 0);
+    gauge(out, "yuccafall_configuration_version",
+          "Version of the configuration in force.", it.version.value());
+    gauge(out, "yuccafall_configuration_age_seconds",
+          "Time since the configuration in force was applied.",
+          static_cast<double>(it.applied_ago.count()) / ms_per_second);
+    gauge(out, "yuccafall_state_age_seconds",
+          "Time since the store or a peer confirmed what is held.",
+          static_cast<double>(it.confirmed_ago.count()) / ms_per_second);
+    gauge(out, "yuccafall_store_revision",
+          "Revision of the store that is held.", it.as_of.value());
+    gauge(out, "yuccafall_workers", "Workers that may get work.", it.workers);
+    gauge(out, "yuccafall_store_reachable",
+          "1 if the last call to the store succeeded.",
+          it.store_reachable ? 1 : 0);
+    counter(out, "yuccafall_store_calls_total",
+            "Calls to the platform's store.", it.store_calls);
+    counter(out, "yuccafall_configurations_refused_total",
+            "Configurations that were refused whole.", it.refused);
+    gauge(out, "yuccafall_control_peers", "Nodes connected for control.",
+          it.peers);
+}
+
+void add_latency(families& out, ingress::latency_histogram const& it)
+{
+    auto& to = family(out, "yuccafall_request_duration_seconds",
+                      "From the arrival of a request to its answer.",
+                      MetricType::Histogram);
+    ClientMetric metric;
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < ingress::latency_bounds.size(); ++i)
+    {
+        total += it.buckets[i].load(std::memory_order_relaxed);
+        ClientMetric::Bucket bucket;
+        bucket.cumulative_count = total;
+        bucket.upper_bound =
+            static_cast<double>(ingress::latency_bounds[i].count()) /
+            ms_per_second;
+        metric.histogram.bucket.push_back(bucket);
+    }
+    metric.histogram.sample_count =
+        total + it.buckets.back().load(std::memory_order_relaxed);
+    metric.histogram.sample_sum =
+        static_cast<double>(it.sum_ms.load(std::memory_order_relaxed)) /
+        ms_per_second;
+    to.metric.push_back(std::move(metric));
+}
+
+void add_traffic(families& out, ingress::counters const& it)
+{
+    auto const value = [](ingress::counter const& c) {
+        return c.load(std::memory_order_relaxed);
+    };
+    counter(out, "yuccafall_requests_total", "Requests of callers.",
+            value(it.requests));
+    counter(out, "yuccafall_requests_answered_total",
+            "Requests that ended with a worker's answer.", value(it.answered));
+    counter(out, "yuccafall_callers_left_total",
+            "Requests whose caller left before the answer.",
+            value(it.callers_left));
+    counter(out, "yuccafall_offers_total", "Calls offered to upstreams.",
+            value(it.offers));
+    counter(out, "yuccafall_redirects_total",
+            "Calls offered again that had reached no worker.",
+            value(it.redirects));
+    counter(out, "yuccafall_retries_total",
+            "Calls offered again that had reached a worker.",
+            value(it.retries));
+    counter(out, "yuccafall_retries_denied_total",
+            "Retries that the budget did not allow.", value(it.retries_denied));
+    auto& ended = family(out, "yuccafall_requests_ended_total",
+                         "Requests that ended with an answer of the node's "
+                         "own, by cause.",
+                         MetricType::Counter);
+    for (std::size_t i = 0; i < it.refused.size(); ++i)
+    {
+        auto const kind = static_cast<core::error_kind>(i);
+        add_value(ended, static_cast<double>(value(it.refused[i])),
+                  {{"cause", std::string(core::answer_of(kind).name)}});
+    }
+    add_latency(out, it.latency);
+}
+
+void add_process(families& out)
+{
+    auto const usage = usage_of_process();
+    counter(out, "process_cpu_seconds_total",
+            "Processor time of the process, user and system.",
+            std::chrono::duration<double>(usage.processor_time).count());
+    gauge(out, "process_resident_memory_bytes",
+          "Resident memory of the process.", usage.resident.value());
+    auto const log = core::log_counters();
+    counter(out, "yuccafall_log_lines_dropped_total",
+            "Log lines that the output had no room for.", log.dropped);
+    counter(out, "yuccafall_log_lines_suppressed_total",
+            "Log lines over the rate limit.", log.suppressed);
+}
+
+} // namespace
+
+std::string metrics_body(node_state const& it)
+{
+    families out;
+    add_control(out, it.control);
+    if (it.counts)
+    {
+        add_traffic(out, *it.counts);
+    }
+    add_process(out);
+    return prometheus::TextSerializer().Serialize(out);
+}
+
+} // namespace yuccafall::admin
--- a/src/node/process_usage.cpp
+++ b/src/admin/process_usage.cpp
@@ -1,12 +1,12 @@
 // Reads the kernel's accounts of this process.
-#include "node/process_usage.hpp"
+#include "admin/process_usage.hpp"
 
 #include <fstream>
 
 #include <sys/resource.h>
 #include <unistd.h>
 
-namespace yuccafall::node {
+namespace yuccafall::admin {
 
 namespace {
 
@@ -35,4 +35,4 @@
     return it;
 }
 
-} // namespace yuccafall::node
+} // namespace yuccafall::admin
--- a/src/node/process_usage.hpp
+++ b/src/admin/process_usage.hpp
@@ -1,10 +1,10 @@
 // What this process has used of the VM.
-#ifndef YUCCAFALL_NODE_PROCESS_USAGE_HPP
-#define YUCCAFALL_NODE_PROCESS_USAGE_HPP
+#ifndef YUCCAFALL_ADMIN_PROCESS_USAGE_HPP
+#define YUCCAFALL_ADMIN_PROCESS_USAGE_HPP
 
 #include "core/units.hpp"
 
-namespace yuccafall::node {
+namespace yuccafall::admin {
 
 struct process_usage
 {
@@ -14,6 +14,6 @@
 
 process_usage usage_of_process();
 
-} // namespace yuccafall::node
+} // namespace yuccafall::admin
 
 #endif
--- /dev/null
+++ b/src/admin/replies.cpp
@@ -0,0 +1,222 @@
+// JSON of status, explanations and the read-back.
+#include "admin/replies.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace yuccafall::admin {
+
+using nlohmann::json;
+
+namespace {
+
+// Names of laggards in one data centre; the count is always whole.
+constexpr std::size_t most_laggards = 32;
+
+std::string_view name_of(routing::repeatability it)
+{
+    switch (it)
+    {
+    case routing::repeatability::idempotent:
+        return "idempotent";
+    case routing::repeatability::non_idempotent:
+        return "non_idempotent";
+    case routing::repeatability::upload:
+        return "upload";
+    }
+    return "unknown";
+}
+
+json error_body(core::error_kind kind, std::string reason)
+{
+    return {{"error", core::answer_of(kind).name},
+            {"reason", std::move(reason)}};
+}
+
+struct request_place
+{
+    std::string host;
+    std::string target;
+};
+
+// "http://host/path" or "host/path".
+request_place split_url(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    if (url.substr(0, scheme.size()) == scheme)
+    {
+        url.remove_prefix(scheme.size());
+    }
+    auto const slash = std::min(url.find('/'), url.size());
+    auto target = std::string(url.substr(slash));
+    return {std::string(url.substr(0, slash)), target.empty() ? "/" : target};
+}
+
+json targets_of(routing::route const& it)
+{
+    auto out = json::array();
+    for (auto const& target : it.targets)
+    {
+        out.push_back({{"service", target.service.value()},
+                       {"weight", target.weight.value()}});
+    }
+    return out;
+}
+
+json upstreams_of(routing::route const& route,
+                  ingress::traffic_view const& view)
+{
+    auto out = json::array();
+    for (auto const& target : route.targets)
+    {
+        auto const found = view.upstreams.find(target.service);
+        if (found == view.upstreams.end())
+        {
+            continue;
+        }
+        for (auto const& it : found->second)
+        {
+            out.push_back({{"id", it.id.value()},
+                           {"service", target.service.value()},
+                           {"data_centre", it.data_centre.value()},
+                           {"node", core::to_string(it.node)},
+                           {"slots", it.slots.value()}});
+        }
+    }
+    return out;
+}
+
+struct data_centre_counts
+{
+    std::uint64_t in_force = 0;
+    std::uint64_t behind = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::vector<std::string> laggards;
+};
+
+void count(data_centre_counts& to, node_answer const& it,
+           core::configuration_version version)
+{
+    if (it.answered && it.version >= version)
+    {
+        ++to.in_force;
+        return;
+    }
+    (it.answered ? to.behind : to.unknown) += 1;
+    to.refused += it.answered && it.refused > 0 ? 1 : 0;
+    if (to.laggards.size() < most_laggards)
+    {
+        to.laggards.push_back(it.name);
+    }
+}
+
+} // namespace
+
+std::string status_body(node_state const& it)
+{
+    auto const& c = it.control;
+    json const out = {{"vm", it.identity.vm.value()},
+                      {"service", it.identity.service.value()},
+                      {"data_centre", it.identity.data_centre.value()},
+                      {"ready", c.ready},
+                      {"leaving", c.leaving},
+                      {"version", c.version.value()},
+                      {"applied_ago_ms", c.applied_ago.count()},
+                      {"confirmed_ago_ms", c.confirmed_ago.count()},
+                      {"as_of", c.as_of.value()},
+                      {"routes", c.routes},
+                      {"workers", c.workers},
+                      {"peers", c.peers},
+                      {"reads_store", c.reads_store},
+                      {"store_reachable", c.store_reachable},
+                      {"store_calls", c.store_calls},
+                      {"refused", c.refused}};
+    return out.dump();
+}
+
+std::string explain_body(node_state const& it, std::string_view method,
+                         std::string_view url)
+{
+    if (!it.view || !it.view->routes)
+    {
+        return error_body(core::error_kind::not_ready, "no configuration yet")
+            .dump();
+    }
+    auto const place = split_url(url);
+    auto const* route = it.view->routes->find(place.host, place.target);
+    if (route == nullptr)
+    {
+        return error_body(core::error_kind::no_route,
+                          fmt::format("no route of host \"{}\" begins the path",
+                                      place.host))
+            .dump();
+    }
+    json const out = {
+        {"method", method},
+        {"route", route->name.value()},
+        {"version", it.view->routes->source().version.value()},
+        {"kind", name_of(route->kind)},
+        {"timeout_ms", route->timeout.count()},
+        {"aim_ms", route->aim.count()},
+        {"rank", route->rank.value()},
+        {"attempts", route->attempts.value()},
+        {"targets", targets_of(*route)},
+        {"reason",
+         fmt::format("\"{}\" is the longest prefix of host \"{}\" that begins "
+                     "the path",
+                     route->prefix, route->host)},
+        {"upstreams", upstreams_of(*route, *it.view)}};
+    return out.dump();
+}
+
+std::optional<node_answer> parse_status(std::string const& body)
+{
+    try
+    {
+        auto const it = json::parse(body);
+        node_answer out;
+        out.answered = true;
+        out.name = it.at("vm").get<std::string>();
+        out.data_centre =
+            core::data_centre(it.at("data_centre").get<std::string>());
+        out.version =
+            core::configuration_version(it.at("version").get<std::uint64_t>());
+        out.refused = it.at("refused").get<std::uint64_t>();
+        return out;
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+std::string where_body(core::configuration_version version,
+                       std::vector<node_answer> const& nodes)
+{
+    std::map<core::data_centre, data_centre_counts> counts;
+    for (auto const& it : nodes)
+    {
+        count(counts[it.data_centre], it, version);
+    }
+    auto rows = json::array();
+    bool complete = true;
+    for (auto const& [name, it] : counts)
+    {
+        complete = complete && it.behind == 0 && it.unknown == 0;
+        rows.push_back({{"name", name.value()},
+                        {"in_force", it.in_force},
+                        {"behind", it.behind},
+                        {"refused", it.refused},
+                        {"unknown", it.unknown},
+                        {"laggards", it.laggards}});
+    }
+    json const out = {{"revision", version.value()},
+                      {"data_centres", rows},
+                      {"complete", complete}};
+    return out.dump();
+}
+
+} // namespace yuccafall::admin
--- a/src/admin/replies.hpp
+++ b/src/admin/replies.hpp
@@ -1,83 +1,41 @@
-// What a node tells an operator. json.hpp turns these into bytes.
+// Bodies of the operators' endpoint.
 #ifndef YUCCAFALL_ADMIN_REPLIES_HPP
 #define YUCCAFALL_ADMIN_REPLIES_HPP
 
-#include <cstdint>
+#include <map>
 #include <string>
-#include <variant>
 #include <vector>
 
-#include "core/error.hpp"
-#include "core/ids.hpp"
-#include "core/units.hpp"
+#include "admin/state.hpp"
 
 namespace yuccafall::admin {
 
-// Where a revision is in force in one data centre. Each VM of the list counts
-// in exactly one of in_force, behind, unknown.
-struct data_centre_count
-{
-    core::data_centre name;
-    std::uint64_t in_force = 0;
-    std::uint64_t behind = 0;
-    std::uint64_t unknown = 0;
-    // Those of behind that hold the revision and found it invalid.
-    std::uint64_t refused = 0;
-    // Bounded sample of the VMs that are behind.
-    std::vector<core::vm_id> laggards;
-};
-
-struct where_reply
-{
-    core::revision revision;
-    std::vector<data_centre_count> data_centres;
-};
+std::string status_body(node_state const& it);
 
-// True if the revision is in force on every VM of the list.
-bool is_complete(where_reply const& it);
+// Which route a request gets, and the upstreams that could run it.
+std::string explain_body(node_state const& it, std::string_view method,
+                         std::string_view url);
 
-enum class upstream_state
-{
-    live,
-    cold,
-    ejected,
-};
+std::string metrics_body(node_state const& it);
 
-struct upstream_row
+// What one node answered when asked for its status.
+struct node_answer
 {
-    core::vm_id vm;
     core::data_centre data_centre;
-    upstream_state state = upstream_state::live;
-    std::uint32_t in_flight = 0;
-    core::duration latency{};
-};
-
-struct explained_route
-{
-    core::route_name route;
-    core::pool_name pool;
-    core::milliseconds deadline{};
-    bool idempotent = false;
-    std::string work;
-    std::string reason;
-    std::vector<upstream_row> upstreams;
-};
-
-struct unexplained
-{
-    core::error_kind kind = core::error_kind::no_route;
-    std::string reason;
-};
-
-using explain_reply = std::variant<explained_route, unexplained>;
-
-struct status_field
-{
+    // Its VM, or its address where it did not answer.
     std::string name;
-    std::variant<std::string, std::int64_t, bool> value;
+    bool answered = false;
+    core::configuration_version version;
+    std::uint64_t refused = 0;
 };
 
-using status_reply = std::vector<status_field>;
+// Nothing for a text that status_body does not make.
+std::optional<node_answer> parse_status(std::string const& body);
+
+// In how many nodes of each data centre the version is in force. A node that
+// did not answer counts as unknown and never as in force.
+std::string where_body(core::configuration_version version,
+                       std::vector<node_answer> const& nodes);
 
 } // namespace yuccafall::admin
 
--- /dev/null
+++ b/src/admission/slot_queue.cpp
@@ -0,0 +1,277 @@
+// The rules of order and refusal.
+#include "admission/slot_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace yuccafall::admission {
+
+namespace {
+
+// A caller that is told less would come back before one call has ended.
+constexpr core::milliseconds shortest_retry_after{30};
+// A demand swing is over by then, and a caller that may wait only a third of
+// its time left would not wait longer.
+constexpr core::milliseconds longest_retry_after{2'000};
+
+core::milliseconds whole_milliseconds(core::duration it)
+{
+    return std::chrono::duration_cast<core::milliseconds>(it);
+}
+
+} // namespace
+
+std::vector<action> slot_queue::handle(event const& it, core::instant now)
+{
+    actions out;
+    std::visit([&](auto const& e) { on(e, now, out); }, it);
+    return out;
+}
+
+core::duration slot_queue::expected(core::route_name const& route) const
+{
+    return times_.expected(route);
+}
+
+core::milliseconds slot_queue::mean_run(core::instant) const
+{
+    return whole_milliseconds(times_.mean());
+}
+
+std::size_t slot_queue::usable_slots(core::instant now) const
+{
+    std::size_t const slots = settings_.slots.value();
+    auto const foreign =
+        now - foreign_at_ < settings_.foreign_believed ? foreign_ : 0;
+    return slots - std::min(slots, foreign);
+}
+
+core::duration slot_queue::wait_for(core::rank rank, core::instant aim,
+                                    core::instant now) const
+{
+    std::size_t const slots = std::max(settings_.slots.value(), 1U);
+    core::duration work{};
+    for (auto const& [call, it] : running_)
+    {
+        work += std::max(it.expected - (now - it.since), it.expected / 8);
+    }
+    std::size_t ahead = 0;
+    for (auto const& [call, it] : waiting_)
+    {
+        if (std::tie(it.job.rank, it.job.aim) <= std::tie(rank, aim))
+        {
+            work += it.expected;
+            ++ahead;
+        }
+    }
+    auto const foreign = slots - usable_slots(now);
+    work += times_.mean() * static_cast<long>(foreign) / 2;
+    if (running_.size() + foreign + ahead < slots)
+    {
+        return {};
+    }
+    return work / static_cast<long>(slots);
+}
+
+std::size_t slot_queue::late_waiting(core::instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(waiting_.begin(), waiting_.end(), [&](auto const& it) {
+            return now + it.second.expected > it.second.job.aim;
+        }));
+}
+
+core::milliseconds slot_queue::room_in(core::instant now) const
+{
+    auto const wait = wait_for(core::rank(~0U), core::instant::max(), now);
+    return std::clamp(whole_milliseconds(wait), shortest_retry_after,
+                      longest_retry_after);
+}
+
+void slot_queue::on(offered const& it, core::instant now, actions& out)
+{
+    auto const& job = it.job;
+    if (leaving_)
+    {
+        out.emplace_back(refuse{job.call, core::error_kind::leaving, {}});
+        return;
+    }
+    auto const takes = expected(job.route);
+    auto const wait = wait_for(job.rank, job.aim, now);
+    auto const ends = now + wait + takes;
+    bool const late = ends > job.aim;
+    auto const late_limit = static_cast<std::size_t>(
+        settings_.slots.value() * settings_.late_waiting.value() / 100);
+    if (wait > core::duration::zero() &&
+        (ends > job.deadline || (late && late_waiting(now) >= late_limit)))
+    {
+        out.emplace_back(
+            refuse{job.call, core::error_kind::overloaded, room_in(now)});
+        return;
+    }
+    waiting_.emplace(job.call, queued{job, takes, !job.awaits_body});
+    if (job.awaits_body)
+    {
+        out.emplace_back(ask_for_body{job.call});
+    }
+    start_waiting(now, out);
+}
+
+void slot_queue::on(body_arrived const& it, core::instant now, actions& out)
+{
+    auto const found = waiting_.find(it.call);
+    if (found != waiting_.end())
+    {
+        found->second.ready = true;
+        start_waiting(now, out);
+    }
+}
+
+void slot_queue::on(cancelled const& it, core::instant, actions&)
+{
+    waiting_.erase(it.call);
+}
+
+void slot_queue::on(run_ended const& it, core::instant now, actions& out)
+{
+    auto const found = running_.find(it.call);
+    if (found == running_.end())
+    {
+        return;
+    }
+    if (it.how == run_end::completed)
+    {
+        times_.observe(found->second.route, now - found->second.since);
+    }
+    running_.erase(found);
+    start_waiting(now, out);
+}
+
+void slot_queue::on(load_reported const& it, core::instant now, actions&)
+{
+    pace_ = it.load.pace;
+    // The report was written before the call that brought it had left its
+    // slot, and counts it or not.
+    auto const at_worker = static_cast<std::size_t>(it.load.running.value()) +
+                           it.load.waiting.value();
+    auto const ours = running_.size() + 1;
+    foreign_ = at_worker > ours ? at_worker - ours : 0;
+    foreign_at_ = now;
+}
+
+void slot_queue::on(worker_rejected const&, core::instant now, actions&)
+{
+    paused_until_ = now + settings_.rejection_pause;
+}
+
+void slot_queue::on(slots_changed const& it, core::instant now, actions& out)
+{
+    settings_.slots = it.slots;
+    start_waiting(now, out);
+}
+
+void slot_queue::on(time_passed const&, core::instant now, actions& out)
+{
+    if (now >= paused_until_)
+    {
+        paused_until_ = {};
+    }
+    if (now - foreign_at_ >= settings_.foreign_believed)
+    {
+        foreign_ = 0;
+    }
+    drop_hopeless(now, out);
+    start_waiting(now, out);
+}
+
+void slot_queue::on(leave_started const&, core::instant, actions& out)
+{
+    leaving_ = true;
+    for (auto const& [call, it] : waiting_)
+    {
+        out.emplace_back(refuse{call, core::error_kind::leaving, {}});
+    }
+    waiting_.clear();
+}
+
+void slot_queue::on(leave_ended const&, core::instant, actions&)
+{
+    leaving_ = false;
+}
+
+// A call whose deadline leaves too little time for its work would take a slot
+// without use to anyone.
+void slot_queue::drop_hopeless(core::instant now, actions& out)
+{
+    for (auto it = waiting_.begin(); it != waiting_.end();)
+    {
+        if (now + it->second.expected / 2 >= it->second.job.deadline)
+        {
+            out.emplace_back(
+                refuse{it->first, core::error_kind::expired, room_in(now)});
+            it = waiting_.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+void slot_queue::start_waiting(core::instant now, actions& out)
+{
+    if (now < paused_until_)
+    {
+        return;
+    }
+    drop_hopeless(now, out);
+    while (running_.size() < usable_slots(now))
+    {
+        auto const key = [&](queued const& it) {
+            bool const late = now + it.expected > it.job.aim;
+            return std::make_tuple(it.job.rank, late, it.job.aim);
+        };
+        auto best = waiting_.end();
+        for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
+        {
+            if (it->second.ready &&
+                (best == waiting_.end() || key(it->second) < key(best->second)))
+            {
+                best = it;
+            }
+        }
+        if (best == waiting_.end())
+        {
+            return;
+        }
+        running_.emplace(best->first, active{best->second.job.route, now,
+                                             best->second.expected});
+        out.emplace_back(start{best->first});
+        waiting_.erase(best);
+    }
+}
+
+std::optional<core::instant> slot_queue::next_wake() const
+{
+    std::optional<core::instant> first;
+    auto const consider = [&](core::instant it) {
+        first = first ? std::min(*first, it) : it;
+    };
+    for (auto const& [call, it] : waiting_)
+    {
+        consider(it.job.deadline - it.expected / 2);
+    }
+    if (!waiting_.empty())
+    {
+        // Slots that were held back are looked at again.
+        if (foreign_ > 0)
+        {
+            consider(foreign_at_ + settings_.foreign_believed);
+        }
+        if (paused_until_ != core::instant{})
+        {
+            consider(paused_until_);
+        }
+    }
+    return first;
+}
+
+} // namespace yuccafall::admission
--- a/src/commands/admin_client.cpp
+++ b/src/commands/admin_client.cpp
@@ -1,53 +1,76 @@
-// One request through cpprestsdk's client.
+// One request on a connection of its own.
 #include "commands/admin_client.hpp"
 
-#include <exception>
+#include <optional>
 #include <ostream>
 #include <sstream>
 
-#include <cpprest/http_client.h>
+#include <boost/asio/io_context.hpp>
 #include <fmt/ostream.h>
 
 #include "commands/flags.hpp"
 #include "core/endpoint.hpp"
+#include "http/client_connection.hpp"
+#include "http/query.hpp"
 
 namespace yuccafall::commands {
 
 namespace {
 
-namespace http = web::http;
-
-constexpr std::chrono::seconds longest_wait(5);
+constexpr core::milliseconds longest_wait{5'000};
 
 std::string target_of(admin_query const& query)
 {
-    web::uri_builder uri(query.path);
+    std::string out = query.path;
+    char separator = '?';
     for (auto const& [name, value] : query.parameters)
     {
-        uri.append_query(name + "=" + web::uri::encode_data_string(value),
-                         false);
+        out += separator + name + "=" + http::percent_encoded(value);
+        separator = '&';
     }
-    return uri.to_string();
+    return out;
 }
 
-std::string get(core::endpoint const& node, std::string const& target)
+core::result<std::string> get(core::endpoint const& node,
+                              std::string const& target)
 {
-    http::client::http_client_config config;
-    config.set_timeout(longest_wait);
-    http::client::http_client client("http://" + core::to_string(node), config);
-    return client.request(http::methods::GET, target)
-        .then([](http::http_response const& response) {
-            // The type of content is not relied on.
-            return response.extract_string(true);
-        })
-        .get();
+    boost::asio::io_context context;
+    auto const connection =
+        std::make_shared<http::client_connection>(context.get_executor());
+    std::optional<http::exchange_result> outcome;
+    http::request message;
+    message.method = "GET";
+    message.target = target;
+    message.headers.push_back({"Host", core::to_string(node)});
+    core::result<void> connected;
+    connection->connect(node, longest_wait, [&](core::result<void> it) {
+        connected = std::move(it);
+        if (!connected)
+        {
+            return;
+        }
+        http::exchange_terms terms;
+        terms.timeout = longest_wait;
+        connection->exchange(
+            http::serialize(message), std::move(terms),
+            [&](http::exchange_result r) { outcome = std::move(r); });
+    });
+    context.run();
+    if (!connected)
+    {
+        return tl::unexpected(connected.error());
+    }
+    if (!*outcome)
+    {
+        return core::failure(core::error_kind::io, outcome->error().detail);
+    }
+    return std::move((*outcome)->body);
 }
 
 core::result<admin_answer> parsed(std::string const& node, std::string body)
 {
-    std::error_code ec;
-    auto json = web::json::value::parse(body, ec);
-    if (ec || !json.is_object())
+    auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object())
     {
         return core::failure(
             core::error_kind::io,
@@ -72,17 +95,14 @@
     {
         return tl::unexpected(address.error());
     }
-    // cpprestsdk reports by exceptions; they end here.
-    try
+    auto body = get(*address, target_of(query));
+    if (!body)
     {
-        return parsed(node, get(*address, target_of(query)));
-    }
-    catch (std::exception const& e)
-    {
-        return core::failure(
-            core::error_kind::io,
-            fmt::format("node {} did not answer: {}", node, e.what()));
+        return core::failure(core::error_kind::io,
+                             fmt::format("node {} did not answer: {}", node,
+                                         body.error().detail));
     }
+    return parsed(node, std::move(*body));
 }
 
 exit_code run_query(admin_query const& query, answer_printer print,
@@ -104,7 +124,7 @@
         fmt::print(to.out, "{}", FLAGS_json ? answer->body + "\n" : text.str());
         return code;
     }
-    catch (web::json::json_exception const& e)
+    catch (nlohmann::json::exception const& e)
     {
         return failed(fmt::format("node {} did not answer as expected: {}",
                                   FLAGS_node, e.what()),
@@ -112,9 +132,16 @@
     }
 }
 
-std::string plain_text(web::json::value const& it)
+nlohmann::json const& rows_of(nlohmann::json const& it, char const* key)
+{
+    auto const& rows = it.at(key);
+    rows.get_ref<nlohmann::json::array_t const&>();
+    return rows;
+}
+
+std::string plain_text(nlohmann::json const& it)
 {
-    return it.is_string() ? it.as_string() : it.serialize();
+    return it.is_string() ? it.get<std::string>() : it.dump();
 }
 
 } // namespace yuccafall::commands
--- a/src/commands/admin_client.hpp
+++ b/src/commands/admin_client.hpp
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include <cpprest/json.h>
+#include <nlohmann/json.hpp>
 
 #include "commands/command.hpp"
 #include "core/error.hpp"
@@ -22,7 +22,7 @@
 struct admin_answer
 {
     std::string body;
-    web::json::value json;
+    nlohmann::json json;
 };
 
 // The node is IP:PORT. Fails with bad_request for another form of address and
@@ -34,14 +34,17 @@
 // Asks the node of the flag --node and hands the answer to `print`, which
 // writes it and says how the command ends. With --json the body is printed as
 // it is in place of what `print` writes.
-using answer_printer = exit_code (*)(web::json::value const& it,
+using answer_printer = exit_code (*)(nlohmann::json const& it,
                                      std::ostream& out);
 
 exit_code run_query(admin_query const& query, answer_printer print,
                     terminal& to);
 
+// The list under the key. Throws where there is none, as at() does.
+nlohmann::json const& rows_of(nlohmann::json const& it, char const* key);
+
 // The text of a JSON value; strings without their quotes.
-std::string plain_text(web::json::value const& it);
+std::string plain_text(nlohmann::json const& it);
 
 } // namespace yuccafall::commands
 
--- a/src/commands/check.cpp
+++ b/src/commands/check.cpp
@@ -17,12 +17,11 @@
 
 void print_json(verdict const& it, terminal& to)
 {
-    auto object = web::json::value::object();
-    object["valid"] = web::json::value::boolean(it.has_value());
-    object["validator"] =
-        web::json::value::number(tables::validator_version.value());
+    auto object = nlohmann::json::object();
+    object["valid"] = it.has_value();
+    object["validator"] = tables::validator_version.value();
     object["faults"] = to_json(it ? std::vector<tables::fault>() : it.error());
-    fmt::print(to.out, "{}\n", object.serialize());
+    fmt::print(to.out, "{}\n", object.dump());
 }
 
 void print_text(verdict const& it, terminal& to)
--- a/src/commands/diff.cpp
+++ b/src/commands/diff.cpp
@@ -40,9 +40,9 @@
 {
     if (FLAGS_json)
     {
-        auto object = web::json::value::object();
+        auto object = nlohmann::json::object();
         object["changes"] = to_json(changes);
-        fmt::print(to.out, "{}\n", object.serialize());
+        fmt::print(to.out, "{}\n", object.dump());
         return;
     }
     for (auto const& it : changes)
--- a/src/commands/explain.cpp
+++ b/src/commands/explain.cpp
@@ -10,30 +10,30 @@
 
 namespace {
 
-using web::json::value;
+using value = nlohmann::json;
 
 void print_upstream(value const& it, std::ostream& out)
 {
-    fmt::print(out, "upstream {}: data centre {}, {}, in flight {}, {} ms\n",
-               it.at("vm").as_string(), it.at("data_centre").as_string(),
-               it.at("state").as_string(), plain_text(it.at("in_flight")),
-               plain_text(it.at("latency_ms")));
+    fmt::print(
+        out, "upstream {}: service {}, data centre {}, slots {}\n",
+        it.at("id").get<std::string>(), it.at("service").get<std::string>(),
+        it.at("data_centre").get<std::string>(), plain_text(it.at("slots")));
 }
 
 exit_code print_answer(value const& it, std::ostream& out)
 {
-    if (it.has_field("error"))
+    if (it.contains("error"))
     {
-        fmt::print(out, "{}: {}\n", it.at("error").as_string(),
-                   it.at("reason").as_string());
+        fmt::print(out, "{}: {}\n", it.at("error").get<std::string>(),
+                   it.at("reason").get<std::string>());
         return exit_code::negative;
     }
-    for (auto const* key :
-         {"route", "pool", "deadline_ms", "idempotent", "work", "reason"})
+    for (auto const* key : {"route", "version", "kind", "timeout_ms", "aim_ms",
+                            "rank", "attempts", "targets", "reason"})
     {
         fmt::print(out, "{}: {}\n", key, plain_text(it.at(key)));
     }
-    for (auto const& upstream : it.at("upstreams").as_array())
+    for (auto const& upstream : rows_of(it, "upstreams"))
     {
         print_upstream(upstream, out);
     }
--- a/src/commands/status.cpp
+++ b/src/commands/status.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-exit_code print_answer(web::json::value const& it, std::ostream& out)
+exit_code print_answer(nlohmann::json const& it, std::ostream& out)
 {
-    for (auto const& [key, value] : it.as_object())
+    for (auto const& [key, value] : it.items())
     {
         fmt::print(out, "{}: {}\n", key, plain_text(value));
     }
--- a/src/commands/table_json.cpp
+++ b/src/commands/table_json.cpp
@@ -1,4 +1,4 @@
-// Encodes with cpprestsdk's JSON values.
+// Encodes tables as JSON.
 #include "commands/table_json.hpp"
 
 #include "core/overloaded.hpp"
@@ -7,23 +7,22 @@
 
 namespace {
 
-using web::json::value;
+using value = nlohmann::json;
 
 value text(std::string_view it)
 {
-    return value::string(std::string(it));
+    return value(std::string(it));
 }
 
 template <class Item, class Encode>
 value list(std::vector<Item> const& items, Encode encode)
 {
-    std::vector<value> values;
-    values.reserve(items.size());
+    auto values = value::array();
     for (auto const& it : items)
     {
         values.push_back(encode(it));
     }
-    return value::array(std::move(values));
+    return values;
 }
 
 value encoded_fault(tables::fault const& it)
@@ -31,7 +30,7 @@
     auto object = value::object();
     object["table"] = text(tables::to_string(it.table));
     object["row"] = text(tables::to_string(it.row));
-    object["line"] = value::number(it.line.value());
+    object["line"] = it.line.value();
     object["column"] = text(it.column.value());
     object["message"] = text(it.message);
     return object;
--- a/src/commands/table_json.hpp
+++ b/src/commands/table_json.hpp
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-#include <cpprest/json.h>
+#include <nlohmann/json.hpp>
 
 #include "tables/diff.hpp"
 #include "tables/fault.hpp"
@@ -13,12 +13,12 @@
 
 // A list of {table, row, line, column, message}; row is "" where the fault
 // belongs to none.
-web::json::value to_json(std::vector<tables::fault> const& faults);
+nlohmann::json to_json(std::vector<tables::fault> const& faults);
 
 // A list of {table, row, change, cells}; change is "added", "removed" or
 // "changed", and cells is a list of {column, before, after} without the side
 // that does not exist.
-web::json::value to_json(std::vector<tables::row_change> const& changes);
+nlohmann::json to_json(std::vector<tables::row_change> const& changes);
 
 } // namespace yuccafall::commands
 
--- a/src/commands/where.cpp
+++ b/src/commands/where.cpp
@@ -11,27 +11,27 @@
 
 namespace {
 
-using web::json::value;
+using value = nlohmann::json;
 
 void print_data_centre(value const& it, std::ostream& out)
 {
     // Those that refused it count as behind as well.
     fmt::print(out, "{}: in force {}, behind {} (refused {}), unknown {}\n",
-               it.at("name").as_string(), plain_text(it.at("in_force")),
+               it.at("name").get<std::string>(), plain_text(it.at("in_force")),
                plain_text(it.at("behind")), plain_text(it.at("refused")),
                plain_text(it.at("unknown")));
-    for (auto const& name : it.at("laggards").as_array())
+    for (auto const& name : rows_of(it, "laggards"))
     {
-        fmt::print(out, "  laggard {}\n", name.as_string());
+        fmt::print(out, "  laggard {}\n", name.get<std::string>());
     }
 }
 
 exit_code print_answer(value const& it, std::ostream& out)
 {
-    bool const is_complete = it.at("complete").as_bool();
+    bool const is_complete = it.at("complete").get<bool>();
     fmt::print(out, "revision {}: {}\n", plain_text(it.at("revision")),
                is_complete ? "in force everywhere" : "not in force everywhere");
-    for (auto const& data_centre : it.at("data_centres").as_array())
+    for (auto const& data_centre : rows_of(it, "data_centres"))
     {
         print_data_centre(data_centre, out);
     }
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -16,15 +16,15 @@
     bad_request,
     head_too_large,
     body_too_large,
+    request_timeout,
     no_route,
     not_ready,
     no_upstream,
     overloaded,
     leaving,
     expired,
-    key_home_silent,
-    key_unknown,
-    key_in_progress,
+    upstream_rejected,
+    wrong_upstream,
     poisoned,
     upstream_failed,
     deadline_passed,
@@ -33,11 +33,12 @@
     canceled,
     invalid_tables,
     invalid_settings,
+    invalid_configuration,
     platform_unavailable,
     io,
 };
 
-inline constexpr std::size_t error_kind_count = 22;
+inline constexpr std::size_t error_kind_count = 23;
 
 // What is known about the execution of a call that ended with an error.
 enum class execution
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -20,12 +20,21 @@
 // Who sends calls: a client's or a worker's identity, used for fairness.
 using caller_id = strong<struct caller_id_tag, std::string>;
 
-// Position of a configuration in the order that the platform publishes.
-// Revision 0 stands for "none".
+// One start of a worker. A worker that starts again is another upstream, even
+// at the same address.
+using upstream_id = strong<struct upstream_id_tag, std::string>;
+
+// Names one attempt of a client in the logs of every node that it passes.
+using request_id = strong<struct request_id_tag, std::string>;
+
+// Position in the order in which the platform's store accepted changes.
+// Revision 0 stands for "nothing read yet".
 using revision = strong<struct revision_tag, std::uint64_t>;
 
-// Version of the platform's list of VMs. Version 0 stands for "none".
-using list_version = strong<struct list_version_tag, std::uint64_t>;
+// The operator's number of a configuration; grows in uneven steps. Version 0
+// stands for "none".
+using configuration_version =
+    strong<struct configuration_version_tag, std::uint64_t>;
 
 // A random number drawn when a process starts; tells two lives of a VM apart.
 using incarnation = strong<struct incarnation_tag, std::uint64_t>;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -2,13 +2,72 @@
 // several threads do not mix.
 #include "core/log.hpp"
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
+
+#include "core/units.hpp"
 
 namespace yuccafall::core {
 
 namespace {
 
+// A pipe that poll() calls writable takes this much at once without waiting
+// (PIPE_BUF).
+constexpr std::size_t longest_line = 4096;
+
+std::atomic<std::uint64_t> dropped_lines{0};
+std::atomic<std::uint64_t> suppressed_lines{0};
+std::atomic<std::uint32_t> ordinary_events{0};
+
+// Counts the lines of the current second.
+struct line_limit
+{
+    std::mutex mutex;
+    instant second_started{};
+    std::uint32_t lines = 0;
+};
+
+bool take_line()
+{
+    static line_limit limit;
+    auto const now = boot_clock::now();
+    std::lock_guard lock(limit.mutex);
+    if (now - limit.second_started >= std::chrono::seconds(1))
+    {
+        limit.second_started = now;
+        limit.lines = 0;
+    }
+    if (limit.lines >= request_lines_per_second)
+    {
+        return false;
+    }
+    ++limit.lines;
+    return true;
+}
+
+void write_line(std::string line)
+{
+    if (line.size() >= longest_line)
+    {
+        line.resize(longest_line - 1);
+    }
+    line += '\n';
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+    {
+        dropped_lines.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+    {
+        dropped_lines.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
 std::string_view name_of(log_level level)
 {
     switch (level)
@@ -91,8 +150,28 @@
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields)
 {
-    auto const line = format_event(level, event, fields);
-    fmt::print(stderr, "{}\n", line);
+    write_line(format_event(level, event, fields));
+}
+
+bool admit_request_line(request_event kind)
+{
+    if (kind == request_event::ordinary)
+    {
+        auto const n = ordinary_events.fetch_add(1, std::memory_order_relaxed);
+        return n % success_sample == 0 && take_line();
+    }
+    if (take_line())
+    {
+        return true;
+    }
+    suppressed_lines.fetch_add(1, std::memory_order_relaxed);
+    return false;
+}
+
+log_counts log_counters()
+{
+    return {dropped_lines.load(std::memory_order_relaxed),
+            suppressed_lines.load(std::memory_order_relaxed)};
 }
 
 } // namespace yuccafall::core
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,183 @@
+// Header fields and the text form of messages.
+#include "http/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <ostream>
+
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+namespace yuccafall::http {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> connection_fields{
+    "connection", "keep-alive",        "proxy-connection", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
+
+std::string_view trimmed(std::string_view text)
+{
+    auto const is_blank = [](char c) { return c == ' ' || c == '\t'; };
+    while (!text.empty() && is_blank(text.front()))
+    {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && is_blank(text.back()))
+    {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+std::vector<std::string> named_by_connection(header_list const& list)
+{
+    std::vector<std::string> names;
+    for (auto const& it : list)
+    {
+        if (!same_name(it.name, "connection"))
+        {
+            continue;
+        }
+        std::string_view rest = it.value;
+        while (!rest.empty())
+        {
+            auto const comma = std::min(rest.find(','), rest.size());
+            names.emplace_back(trimmed(rest.substr(0, comma)));
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return names;
+}
+
+void append_headers(std::string& out, header_list const& list)
+{
+    for (auto const& it : list)
+    {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+}
+
+bool may_lack_length(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "DELETE" ||
+           method == "OPTIONS";
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() &&
+           std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return std::tolower(static_cast<unsigned char>(x)) ==
+                      std::tolower(static_cast<unsigned char>(y));
+           });
+}
+
+std::string const* find_header(header_list const& list, std::string_view name)
+{
+    auto const it =
+        std::find_if(list.begin(), list.end(),
+                     [&](header const& h) { return same_name(h.name, name); });
+    return it == list.end() ? nullptr : &it->value;
+}
+
+std::size_t count_headers(header_list const& list, std::string_view name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(list.begin(), list.end(), [&](header const& h) {
+            return same_name(h.name, name);
+        }));
+}
+
+void remove_header(header_list& list, std::string_view name)
+{
+    list.erase(std::remove_if(
+                   list.begin(), list.end(),
+                   [&](header const& h) { return same_name(h.name, name); }),
+               list.end());
+}
+
+void set_header(header_list& list, std::string_view name, std::string value)
+{
+    remove_header(list, name);
+    list.push_back({std::string(name), std::move(value)});
+}
+
+void strip_connection_headers(header_list& list)
+{
+    auto const named = named_by_connection(list);
+    auto const concerns_connection = [&](header const& h) {
+        auto const same = [&](std::string_view name) {
+            return same_name(h.name, name);
+        };
+        return std::any_of(connection_fields.begin(), connection_fields.end(),
+                           same) ||
+               std::any_of(named.begin(), named.end(), same);
+    };
+    list.erase(std::remove_if(list.begin(), list.end(), concerns_connection),
+               list.end());
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t n = 0;
+    auto const end = text.data() + text.size();
+    auto const parsed = std::from_chars(text.data(), end, n);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return n;
+}
+
+std::string serialize(request const& it)
+{
+    std::string out;
+    out.reserve(256 + it.body.size());
+    out += it.method;
+    out += ' ';
+    out += it.target;
+    out += " HTTP/1.1\r\n";
+    append_headers(out, it.headers);
+    if (!it.body.empty() || !may_lack_length(it.method))
+    {
+        out += fmt::format("Content-Length: {}\r\n", it.body.size());
+    }
+    out += "\r\n";
+    out += it.body;
+    return out;
+}
+
+std::string serialize(response const& it, connection_terms terms)
+{
+    auto const reason = boost::beast::http::obsolete_reason(
+        static_cast<boost::beast::http::status>(it.status));
+    std::string out;
+    out.reserve(256 + it.body.size());
+    out += fmt::format("HTTP/1.1 {} {}\r\n", it.status,
+                       std::string_view(reason.data(), reason.size()));
+    append_headers(out, it.headers);
+    if (it.status != 204 && it.status != 304)
+    {
+        out += fmt::format("Content-Length: {}\r\n", it.body.size());
+    }
+    if (!terms.keep_alive)
+    {
+        out += "Connection: close\r\n";
+    }
+    out += "\r\n";
+    if (!terms.head_only)
+    {
+        out += it.body;
+    }
+    return out;
+}
+
+} // namespace yuccafall::http
--- /dev/null
+++ b/src/http/readers.cpp
@@ -0,0 +1,230 @@
+// The parsers are Boost.Beast's, driven by hand.
+#include "http/readers.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <fmt/format.h>
+
+namespace yuccafall::http {
+
+namespace beast = boost::beast;
+using boost::system::error_code;
+using core::error_kind;
+
+namespace {
+
+template <class Fields>
+header_list copy_headers(Fields const& fields)
+{
+    header_list out;
+    for (auto const& it : fields)
+    {
+        out.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
+    return out;
+}
+
+template <class Parser>
+void set_limits(Parser& parser, size_limits limits)
+{
+    parser.header_limit(static_cast<std::uint32_t>(limits.head.value()));
+    parser.body_limit(limits.body.value());
+    parser.eager(true);
+}
+
+error_kind kind_of(error_code const& ec)
+{
+    if (ec == beast::http::error::header_limit)
+    {
+        return error_kind::head_too_large;
+    }
+    if (ec == beast::http::error::body_limit)
+    {
+        return error_kind::body_too_large;
+    }
+    return error_kind::bad_request;
+}
+
+// Feeds the parser until it is done, fails or wants bytes that are not there.
+template <class Parser>
+error_code feed(Parser& parser, std::string& buffer)
+{
+    error_code ec;
+    std::size_t used = 0;
+    while (!parser.is_done() && used < buffer.size())
+    {
+        auto const n = parser.put(
+            boost::asio::buffer(buffer.data() + used, buffer.size() - used),
+            ec);
+        used += n;
+        if (ec || n == 0)
+        {
+            break;
+        }
+    }
+    buffer.erase(0, used);
+    if (ec == beast::http::error::need_more)
+    {
+        ec = {};
+    }
+    return ec;
+}
+
+// RFC 9112 section 5.2 lets a server refuse folded lines; two readers may
+// disagree on them.
+bool has_folded_line(std::string const& buffer)
+{
+    auto const end = buffer.find("\r\n\r\n");
+    auto const head = std::string_view(buffer).substr(0, end);
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+}
+
+} // namespace
+
+struct request_reader::state
+{
+    beast::http::request_parser<beast::http::string_body> parser;
+};
+
+request_reader::request_reader(size_limits limits)
+    : state_(std::make_unique<state>())
+{
+    set_limits(state_->parser, limits);
+}
+
+request_reader::~request_reader() = default;
+request_reader::request_reader(request_reader&&) noexcept = default;
+request_reader& request_reader::operator=(request_reader&&) noexcept = default;
+
+core::result<progress> request_reader::take(std::string& buffer)
+{
+    auto& parser = state_->parser;
+    if (!parser.is_header_done() && has_folded_line(buffer))
+    {
+        return core::failure(error_kind::bad_request, "folded header line");
+    }
+    auto const ec = feed(parser, buffer);
+    if (ec)
+    {
+        return core::failure(kind_of(ec), ec.message());
+    }
+    if (parser.is_header_done() &&
+        parser.get().count(beast::http::field::host) != 1)
+    {
+        return core::failure(error_kind::bad_request,
+                             "a request needs one Host field");
+    }
+    return parser.is_done() ? progress::complete : progress::needs_more;
+}
+
+bool request_reader::head_done() const
+{
+    return state_->parser.is_header_done();
+}
+
+bool request_reader::expects_continue() const
+{
+    auto const& fields = state_->parser.get();
+    return beast::iequals(fields[beast::http::field::expect], "100-continue");
+}
+
+request request_reader::release()
+{
+    auto message = state_->parser.release();
+    request it;
+    it.method = std::string(message.method_string());
+    it.target = std::string(message.target());
+    it.headers = copy_headers(message);
+    it.keep_alive = message.keep_alive();
+    it.body = std::move(message.body());
+    return it;
+}
+
+struct response_reader::state
+{
+    using parser_type = beast::http::response_parser<beast::http::string_body>;
+
+    state(size_limits l, bool h) : limits(l), answers_head(h) { renew(); }
+
+    void renew()
+    {
+        parser = std::make_unique<parser_type>();
+        set_limits(*parser, limits);
+        parser->skip(answers_head);
+        begun = false;
+    }
+
+    bool is_interim() const
+    {
+        return parser->is_done() && parser->get().result_int() < 200;
+    }
+
+    size_limits limits;
+    bool answers_head;
+    // Replaced after each interim response.
+    std::unique_ptr<parser_type> parser;
+    bool begun = false;
+};
+
+response_reader::response_reader(size_limits limits, bool answers_head)
+    : state_(std::make_unique<state>(limits, answers_head))
+{}
+
+response_reader::~response_reader() = default;
+response_reader::response_reader(response_reader&&) noexcept = default;
+response_reader&
+response_reader::operator=(response_reader&&) noexcept = default;
+
+core::result<progress> response_reader::take(std::string& buffer)
+{
+    state_->begun = state_->begun || !buffer.empty();
+    do
+    {
+        if (state_->is_interim())
+        {
+            state_->renew();
+        }
+        auto const ec = feed(*state_->parser, buffer);
+        if (ec)
+        {
+            return core::failure(error_kind::truncated_answer, ec.message());
+        }
+    } while (state_->is_interim());
+    return state_->parser->is_done() ? progress::complete
+                                     : progress::needs_more;
+}
+
+core::result<progress> response_reader::end()
+{
+    error_code ec;
+    state_->parser->put_eof(ec);
+    if (ec || !state_->parser->is_done())
+    {
+        return core::failure(error_kind::truncated_answer,
+                             "the connection ended within the answer");
+    }
+    return progress::complete;
+}
+
+bool response_reader::started() const
+{
+    return state_->begun;
+}
+
+response response_reader::release()
+{
+    auto message = state_->parser->release();
+    response it;
+    it.status = static_cast<int>(message.result_int());
+    it.headers = copy_headers(message);
+    it.keep_alive = message.keep_alive() && !message.need_eof();
+    it.body = std::move(message.body());
+    return it;
+}
+
+} // namespace yuccafall::http
--- /dev/null
+++ b/src/ingress/counters.hpp
@@ -0,0 +1,63 @@
+// Counts of the callers' side, written by traffic threads and read by the
+// metrics page.
+#ifndef YUCCAFALL_INGRESS_COUNTERS_HPP
+#define YUCCAFALL_INGRESS_COUNTERS_HPP
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+
+#include "core/error.hpp"
+#include "core/units.hpp"
+
+namespace yuccafall::ingress {
+
+using counter = std::atomic<std::uint64_t>;
+
+inline void add(counter& to, std::uint64_t n = 1)
+{
+    to.fetch_add(n, std::memory_order_relaxed);
+}
+
+// Upper bounds of the buckets of latencies.
+inline constexpr std::array<core::milliseconds, 10> latency_bounds{
+    core::milliseconds(5),   core::milliseconds(20),   core::milliseconds(50),
+    core::milliseconds(100), core::milliseconds(200),  core::milliseconds(400),
+    core::milliseconds(800), core::milliseconds(1600), core::milliseconds(3200),
+    core::milliseconds(6400)};
+
+struct latency_histogram
+{
+    // One more than the bounds, for what is longer than all.
+    std::array<counter, latency_bounds.size() + 1> buckets{};
+    counter sum_ms{0};
+
+    void observe(core::milliseconds it)
+    {
+        std::size_t i = 0;
+        while (i < latency_bounds.size() && it > latency_bounds[i])
+        {
+            ++i;
+        }
+        add(buckets[i]);
+        add(sum_ms, static_cast<std::uint64_t>(it.count()));
+    }
+};
+
+struct counters
+{
+    counter requests{0};
+    counter answered{0};
+    counter callers_left{0};
+    counter offers{0};
+    counter redirects{0};
+    counter retries{0};
+    counter retries_denied{0};
+    // By error kind.
+    std::array<counter, core::error_kind_count> refused{};
+    latency_histogram latency;
+};
+
+} // namespace yuccafall::ingress
+
+#endif
--- /dev/null
+++ b/src/membership/worker_directory.cpp
@@ -0,0 +1,123 @@
+// The rules of belief in entries.
+#include "membership/worker_directory.hpp"
+
+#include <algorithm>
+
+namespace yuccafall::membership {
+
+namespace {
+
+bool same_entry(worker_entry const& a, worker_entry const& b)
+{
+    return a.service == b.service && a.address == b.address &&
+           a.data_centre == b.data_centre && a.slots == b.slots &&
+           a.state == b.state;
+}
+
+} // namespace
+
+bool worker_directory::handle(directory_event const& event, core::instant now)
+{
+    return std::visit([&](auto const& it) { return on(it, now); }, event);
+}
+
+bool worker_directory::is_recovering(core::instant now) const
+{
+    return store_away_ ||
+           (store_back_ && now - *store_back_ < settings_.store_recovery);
+}
+
+bool worker_directory::on(entry_written const& it, core::instant)
+{
+    auto& known = records_[it.entry.id];
+    bool const same =
+        known.entry.id == it.entry.id && same_entry(known.entry, it.entry);
+    known.entry = it.entry;
+    known.forget_at.reset();
+    return !same;
+}
+
+bool worker_directory::on(entry_removed const& it, core::instant now)
+{
+    auto const found = records_.find(it.id);
+    if (found == records_.end())
+    {
+        return false;
+    }
+    if (found->second.entry.state == worker_state::draining)
+    {
+        records_.erase(found);
+        return false;
+    }
+    found->second.forget_at =
+        now + (is_recovering(now) ? settings_.removal_delay_after_outage
+                                  : settings_.removal_delay);
+    return false;
+}
+
+bool worker_directory::on(store_lost const&, core::instant)
+{
+    store_away_ = true;
+    return false;
+}
+
+bool worker_directory::on(store_regained const&, core::instant now)
+{
+    store_away_ = false;
+    store_back_ = now;
+    return false;
+}
+
+bool worker_directory::on(time_passed const&, core::instant now)
+{
+    bool changed = false;
+    for (auto it = records_.begin(); it != records_.end();)
+    {
+        if (it->second.forget_at && *it->second.forget_at <= now)
+        {
+            it = records_.erase(it);
+            changed = true;
+            continue;
+        }
+        ++it;
+    }
+    return changed;
+}
+
+std::vector<worker_entry> worker_directory::workers() const
+{
+    std::vector<worker_entry> out;
+    for (auto const& [id, it] : records_)
+    {
+        if (it.entry.state == worker_state::ready)
+        {
+            out.push_back(it.entry);
+        }
+    }
+    return out;
+}
+
+std::map<core::upstream_id, worker_entry> worker_directory::known() const
+{
+    std::map<core::upstream_id, worker_entry> out;
+    for (auto const& [id, it] : records_)
+    {
+        out.emplace(id, it.entry);
+    }
+    return out;
+}
+
+std::optional<core::instant> worker_directory::next_wake() const
+{
+    std::optional<core::instant> first;
+    for (auto const& [id, it] : records_)
+    {
+        if (it.forget_at && (!first || *it.forget_at < *first))
+        {
+            first = it.forget_at;
+        }
+    }
+    return first;
+}
+
+} // namespace yuccafall::membership
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -1,53 +1,54 @@
-// Starts the parts of a node, waits for a signal, and stops them in order.
+// The control thread: start, signals, readiness and graceful shutdown.
 #include "node/run_node.hpp"
 
 #include <csignal>
 #include <memory>
-#include <random>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <pplx/threadpool.h>
+#include <fmt/format.h>
 
-#include "admin/admin_listener.hpp"
+#include "admin/admin_server.hpp"
 #include "core/log.hpp"
-#include "node/admin_sources.hpp"
-#include "node/call_guards.hpp"
+#include "http/server.hpp"
 #include "node/control_plane.hpp"
 #include "node/settings.hpp"
 #include "node/traffic_plane.hpp"
-#include "node/view_publisher.hpp"
-#include "node/worker_watch.hpp"
+#include "platform/headers.hpp"
 
 namespace yuccafall::node {
 
+namespace asio = boost::asio;
+
 namespace {
 
-// Between the end of the last call and the end of the process.
-constexpr core::milliseconds shortest_shutdown{1000};
-// The listener closes once no caller has come for this long, since cpprestsdk
-// cuts a request that arrives while it closes.
-constexpr core::milliseconds linger_step{500};
-constexpr core::milliseconds longest_linger{10'000};
+// The platform asks for readiness once a second and sends no new callers
+// after two misses; requests of late ones are waited for this long.
+constexpr core::milliseconds shortest_drain{2'800};
 
-core::incarnation new_life()
-{
-    std::random_device device;
-    auto const high = static_cast<std::uint64_t>(device()) << 32;
-    return core::incarnation(high | device());
-}
+// Without a new request for this long, callers are taken to have moved.
+constexpr core::milliseconds quiet_before_end{700};
+
+// Kept from the time that the platform allows, for the process to end.
+constexpr core::milliseconds end_reserve{400};
+
+// Part of that time in which new requests are still taken. What is left is
+// more than the longest time limit of a route in use.
+constexpr core::percentage taking_part{50};
+
+constexpr core::milliseconds drain_check{100};
 
-// Invariant: used on the control thread, which runs context_.
 class node_process
 {
 public:
-    explicit node_process(settings own)
-        : own_(std::move(own)), life_(new_life()), publisher_(own_.data_centre),
-          signals_(context_, SIGTERM, SIGINT), drain_limit_(context_),
-          linger_(context_)
+    node_process(settings it, std::string settings_path)
+        : settings_(std::move(it)), settings_path_(std::move(settings_path)),
+          signals_(context_, SIGTERM, SIGINT, SIGHUP), drain_timer_(context_),
+          traffic_(settings_, platform::header_functions())
     {}
 
     run_outcome run()
@@ -58,179 +59,190 @@
                             {{"reason", started.error().detail}});
             return run_outcome::start_failed;
         }
-        core::log_event(core::log_level::info, "node_started",
-                        {{"vm", own_.vm.value()},
-                         {"callers", core::to_string(own_.callers)},
-                         {"admin", core::to_string(own_.admin)}});
+        wait_for_signal();
         context_.run();
+        traffic_.stop();
         core::log_event(core::log_level::info, "node_stopped",
-                        {{"vm", own_.vm.value()}});
+                        {{"vm", settings_.vm.value()}});
         return run_outcome::stopped;
     }
 
 private:
     core::result<void> start()
     {
-        auto& pool = crossplat::threadpool::shared_instance().service();
-        auto traffic = traffic_plane::start(pool, own_, life_,
-                                            call_guards::hooks_of(guards_));
-        if (!traffic)
+        if (auto started = traffic_.start(); !started)
         {
-            return tl::unexpected(traffic.error());
+            return started;
         }
-        traffic_ = std::move(*traffic);
-        publisher_.publish_to(
-            [this](auto view) { traffic_->publish(std::move(view)); },
-            [guards = guards_](auto it) { guards->publish(std::move(it)); });
-        control_ = std::make_unique<control_plane>(context_, own_, life_,
-                                                   publisher_, handlers());
-        worker_ = std::make_unique<worker_watch>(
-            context_, own_.worker,
-            [this](bool draining) { worker_drains(draining); });
-        admin_ = std::make_unique<admin::admin_listener>(
-            own_.admin,
-            make_sources(context_, *control_, publisher_, *traffic_));
-        if (auto open = admin_->open(); !open)
+        auto ready = http::server::listen(
+            context_, settings_.readiness,
+            [this](std::shared_ptr<http::server_connection> const& caller,
+                   http::request const&) { caller->answer(readiness()); },
+            [](core::error const& why) {
+                http::response it;
+                it.status = core::answer_of(why.kind).http_status;
+                return it;
+            });
+        if (!ready)
         {
-            return open;
+            return tl::unexpected(ready.error());
         }
-        if (auto open = control_->start(); !open)
+        readiness_ = std::move(*ready);
+        control_ = std::make_shared<control_plane>(
+            context_, settings_,
+            [this](std::shared_ptr<ingress::traffic_view const> view) {
+                traffic_.publish(std::move(view));
+            });
+        auto operators = admin::admin_server::listen(
+            context_, settings_.operators,
+            {[this] { return state(); }, [this] { return control_->nodes(); }});
+        if (!operators)
         {
-            return open;
+            return tl::unexpected(operators.error());
         }
-        worker_->start();
-        signals_.async_wait(
-            [this](boost::system::error_code const& ec, int signal) {
-                if (!ec)
-                {
-                    leave(signal);
-                }
-            });
+        operators_ = std::move(*operators);
+        control_->start();
+        core::log_event(core::log_level::info, "node_started",
+                        {{"vm", settings_.vm.value()},
+                         {"service", settings_.service.value()},
+                         {"data_centre", settings_.data_centre.value()},
+                         {"callers", core::to_string(settings_.callers)},
+                         {"worker", core::to_string(settings_.worker)}});
         return {};
     }
 
-    control_handlers handlers()
+    admin::node_state state() const
     {
-        control_handlers it;
-        it.paused = [this] { traffic_->paused(); };
-        it.suspect_received =
-            [this](distribution::suspect_notice const& notice) {
-                traffic_->on_strand(
-                    [guards = guards_, notice] { guards->merge(notice); });
-            };
-        it.tables_changed = [this](tables::tables const& rows) {
-            guards_->publish(rows);
-        };
-        it.limits_changed = [this](tables::pool const& pool) {
-            traffic_->change_limits(pool);
-        };
+        admin::node_state it;
+        it.identity = {settings_.vm, settings_.service, settings_.data_centre};
+        it.control = control_->status();
+        it.control.leaving = stopping_since_.has_value();
+        it.view = control_->view();
+        it.counts = traffic_.counts();
         return it;
     }
 
-    void worker_drains(bool draining)
+    http::response readiness() const
     {
-        traffic_->worker_leaving(draining);
-        if (draining)
-        {
-            control_->announce_leaving();
-        }
+        bool const ready = control_ && control_->is_ready() && !stopping_since_;
+        http::response it;
+        it.status = ready ? 200 : 503;
+        return it;
     }
 
-    void leave(int signal)
+    void wait_for_signal()
     {
-        core::log_event(core::log_level::info, "shutdown_started",
-                        {{"signal", signal}});
-        publisher_.ready(false);
-        control_->announce_leaving();
-        drain_limit_.expires_after(own_.longest_drain);
-        drain_limit_.async_wait([this](boost::system::error_code const& ec) {
-            if (!ec)
-            {
-                core::log_event(core::log_level::error, "drain_limit_reached",
-                                {});
-                stop();
-            }
-        });
-        traffic_->start_leaving(
-            [this] { boost::asio::post(context_, [this] { linger(); }); });
+        signals_.async_wait(
+            [this](boost::system::error_code const& ec, int number) {
+                if (ec)
+                {
+                    return;
+                }
+                if (number == SIGHUP)
+                {
+                    reload();
+                    wait_for_signal();
+                    return;
+                }
+                start_draining();
+                wait_for_signal();
+            });
     }
 
-    // The leave notice still has to reach the peers, and callers that hold
-    // this VM's address are still told to go elsewhere.
-    void linger()
+    void reload()
     {
-        auto const calls = traffic_->counters().calls.load();
-        bool const is_quiet = calls == calls_at_linger_;
-        if (lingered_ >= longest_linger ||
-            (is_quiet && lingered_ >= shortest_shutdown))
+        auto const it = load_settings(settings_path_);
+        if (!it)
         {
-            stop();
+            core::log_event(core::log_level::warning, "settings_refused",
+                            {{"reason", it.error().detail}});
             return;
         }
-        calls_at_linger_ = calls;
-        lingered_ += linger_step;
-        linger_.expires_after(linger_step);
-        linger_.async_wait([this](boost::system::error_code const& ec) {
-            if (!ec)
+        core::log_event(core::log_level::info, "settings_read",
+                        {{"service", it->service.value()},
+                         {"worker", core::to_string(it->worker)}});
+    }
+
+    void start_draining()
+    {
+        if (stopping_since_)
+        {
+            return;
+        }
+        stopping_since_ = core::boot_clock::now();
+        core::log_event(core::log_level::info, "drain_started",
+                        {{"vm", settings_.vm.value()}});
+        traffic_.start_leaving();
+        check_drain();
+    }
+
+    void check_drain()
+    {
+        drain_timer_.expires_after(drain_check);
+        drain_timer_.async_wait([this](boost::system::error_code const& ec) {
+            if (ec)
             {
-                linger();
+                return;
             }
+            traffic_.ask_state([this](traffic_state state) {
+                asio::post(context_, [this, state] { drain_or_end(state); });
+            });
         });
     }
 
-    void stop()
+    void drain_or_end(traffic_state const& state)
     {
-        if (std::exchange(stopped_, true))
+        auto const now = core::boot_clock::now();
+        auto const since = now - *stopping_since_;
+        if (since >= settings_.longest_drain *
+                         static_cast<long>(taking_part.value()) / 100)
+        {
+            traffic_.stop_taking();
+        }
+        bool const empty = state.requests_open == 0 && state.running == 0;
+        bool const quiet = since >= shortest_drain &&
+                           now - state.last_request >= quiet_before_end;
+        bool const out_of_time = since + end_reserve >= settings_.longest_drain;
+        if ((empty && quiet) || out_of_time)
         {
+            core::log_event(core::log_level::info, "drain_ended",
+                            {{"requests_open", state.requests_open},
+                             {"running", state.running}});
+            control_->stop();
+            readiness_->stop();
+            operators_->stop();
+            context_.stop();
             return;
         }
-        drain_limit_.cancel();
-        linger_.cancel();
-        worker_->stop();
-        traffic_->close();
-        admin_->close();
-        control_->stop();
-        context_.stop();
+        check_drain();
     }
 
-    settings const own_;
-    core::incarnation const life_;
-    boost::asio::io_context context_{1};
-    std::shared_ptr<call_guards> const guards_ = std::make_shared<call_guards>(
-        life_, [this](distribution::suspect_notice const& it) {
-            boost::asio::post(context_,
-                              [this, it] { control_->spread_suspect(it); });
-        });
-    view_publisher publisher_;
-    boost::asio::signal_set signals_;
-    boost::asio::steady_timer drain_limit_;
-    boost::asio::steady_timer linger_;
-    std::unique_ptr<traffic_plane> traffic_;
-    std::unique_ptr<control_plane> control_;
-    std::unique_ptr<worker_watch> worker_;
-    std::unique_ptr<admin::admin_listener> admin_;
-    core::milliseconds lingered_{0};
-    std::uint64_t calls_at_linger_ = 0;
-    bool stopped_ = false;
+    settings settings_;
+    std::string settings_path_;
+    asio::io_context context_{1};
+    asio::signal_set signals_;
+    asio::steady_timer drain_timer_;
+    traffic_plane traffic_;
+    std::shared_ptr<control_plane> control_;
+    std::shared_ptr<http::server> readiness_;
+    std::shared_ptr<admin::admin_server> operators_;
+    std::optional<core::instant> stopping_since_;
 };
 
 } // namespace
 
 run_outcome run_node(std::string const& settings_path)
 {
-    auto own = load_settings(settings_path);
-    if (!own)
+    auto it = load_settings(settings_path);
+    if (!it)
     {
-        core::log_event(
-            core::log_level::error, "settings_refused",
-            {{"file", settings_path}, {"reason", own.error().detail}});
+        core::log_event(core::log_level::error, "settings_refused",
+                        {{"reason", it.error().detail}});
         return run_outcome::settings_refused;
     }
-    // A write to a closed connection is an error code, not a signal.
+    // A peer that has closed is told by the write's result.
     std::signal(SIGPIPE, SIG_IGN);
-    crossplat::threadpool::initialize_with_threads(
-        own->traffic_threads.value());
-    node_process process(std::move(*own));
+    node_process process(std::move(*it), settings_path);
     return process.run();
 }
 
--- a/src/node/run_node.hpp
+++ b/src/node/run_node.hpp
@@ -1,4 +1,4 @@
-// Runs a node until SIGTERM or SIGINT.
+// Runs a node until it is told to stop.
 #ifndef YUCCAFALL_NODE_RUN_NODE_HPP
 #define YUCCAFALL_NODE_RUN_NODE_HPP
 
@@ -8,10 +8,8 @@
 
 enum class run_outcome
 {
-    // After a graceful shutdown.
     stopped,
     settings_refused,
-    // A port could not be opened.
     start_failed,
 };
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -1,14 +1,15 @@
 // Reads and checks the settings file.
 #include "node/settings.hpp"
 
+#include <cctype>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iterator>
 #include <optional>
 #include <set>
 
-#include <boost/asio/ip/address_v4.hpp>
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
@@ -100,11 +101,12 @@
         bool fits = !text.empty() && text.size() <= longest_name;
         for (unsigned char const c : text)
         {
-            fits = fits && (std::isalnum(c) || c == '-' || c == '.');
+            fits =
+                fits && (std::isalnum(c) || c == '-' || c == '.' || c == '_');
         }
         if (!fits)
         {
-            return "1 to 128 letters, digits, \"-\" or \".\"";
+            return "1 to 128 letters, digits, \"-\", \".\" or \"_\"";
         }
         into = Id(text);
         return std::nullopt;
@@ -142,43 +144,61 @@
     };
 }
 
-auto read_address(core::ip_address& into)
+// A fraction, as a share of a hundred.
+auto read_share(core::percentage& into)
 {
     return [&into](std::string const& text) -> std::optional<std::string> {
-        boost::system::error_code ec;
-        boost::asio::ip::make_address_v4(text, ec);
-        if (ec)
+        char* end = nullptr;
+        double const it = std::strtod(text.c_str(), &end);
+        if (text.empty() || *end != '\0' || !(it >= 0 && it <= 1))
         {
-            return "an IPv4 number";
+            return "a number from 0 to 1";
         }
-        into = core::ip_address(text);
+        into = core::percentage(static_cast<std::uint32_t>(it * 100 + 0.5));
         return std::nullopt;
     };
 }
 
-void read_ports(mapping_reader& top, settings& into,
-                std::vector<std::string>& faults)
+// Seconds, with or without a fraction.
+auto read_seconds(core::milliseconds& into)
 {
-    auto const it = top.find("ports");
+    return [&into](std::string const& text) -> std::optional<std::string> {
+        char* end = nullptr;
+        double const it = std::strtod(text.c_str(), &end);
+        if (text.empty() || *end != '\0' || !(it >= 0 && it <= 86'400))
+        {
+            return "seconds from 0 to 86400";
+        }
+        into = core::milliseconds(static_cast<long>(it * 1000));
+        return std::nullopt;
+    };
+}
+
+void read_endpoints(mapping_reader& top, settings& into,
+                    std::vector<std::string>& faults)
+{
+    auto const it = top.find("endpoints");
     if (!it.IsDefined() || !it.IsMap())
     {
-        top.fault(it.IsDefined() ? it.Mark().line + 1 : 1, "ports",
-                  "expected a mapping of callers, traffic, control and "
-                  "admin to ports");
+        top.fault(it.IsDefined() ? it.Mark().line + 1 : 1, "endpoints",
+                  "expected a mapping of names to IP:PORT");
         return;
     }
-    mapping_reader ports(it, "ports.", faults);
-    ports.scalar("callers", true, read_number(into.callers.port, 1, 65535));
-    ports.scalar("traffic", true, read_number(into.traffic.port, 1, 65535));
-    ports.scalar("control", true, read_number(into.control.port, 1, 65535));
-    ports.scalar("admin", true, read_number(into.admin.port, 1, 65535));
-    ports.reject_unknown();
+    mapping_reader in(it, "endpoints.", faults);
+    in.scalar("callers", true, read_endpoint(into.callers));
+    in.scalar("readiness", true, read_endpoint(into.readiness));
+    in.scalar("control", true, read_endpoint(into.control));
+    in.scalar("traffic", true, read_endpoint(into.traffic));
+    in.scalar("operators", true, read_endpoint(into.operators));
+    in.scalar("worker", true, read_endpoint(into.worker));
+    in.scalar("platform", true, read_endpoint(into.platform));
+    in.reject_unknown();
 }
 
 void read_seeds(mapping_reader& top, settings& into)
 {
     auto const it = top.find("seeds");
-    if (!it.IsDefined())
+    if (!it.IsDefined() || it.IsNull())
     {
         return;
     }
@@ -187,63 +207,77 @@
         top.fault(it.Mark().line + 1, "seeds", "expected a list of IP:PORT");
         return;
     }
-    for (auto const& seed : it)
+    for (auto const& item : it)
     {
-        auto parsed = seed.IsScalar()
-                          ? core::parse_endpoint(seed.Scalar())
-                          : core::failure(core::error_kind::invalid_settings,
-                                          "not a scalar");
-        if (!parsed)
+        auto seed = core::parse_endpoint(item.IsScalar() ? item.Scalar() : "");
+        if (!seed)
         {
-            top.fault(seed.Mark().line + 1, "seeds", "expected IP:PORT");
+            top.fault(item.Mark().line + 1, "seeds", seed.error().detail);
             continue;
         }
-        into.seeds.push_back(*parsed);
+        into.seeds.push_back(std::move(*seed));
     }
 }
 
-settings read_all(YAML::Node const& root, std::vector<std::string>& faults)
+void read_bounds(mapping_reader& top, settings& into,
+                 std::vector<std::string>& faults)
 {
-    settings it;
-    mapping_reader top(root, "", faults);
-    top.scalar("vm", true, read_name(it.vm));
-    top.scalar("service", true, read_name(it.service));
-    top.scalar("data_centre", true, read_name(it.data_centre));
-    top.scalar("region", true, read_name(it.region));
-    core::ip_address address;
-    top.scalar("address", true, read_address(address));
-    read_ports(top, it, faults);
-    for (auto* own : {&it.callers, &it.traffic, &it.control, &it.admin})
+    auto const it = top.find("bounds");
+    if (!it.IsDefined())
+    {
+        return;
+    }
+    if (!it.IsMap())
     {
-        own->address = address;
+        top.fault(it.Mark().line + 1, "bounds", "expected a mapping");
+        return;
     }
-    top.scalar("worker", true, read_endpoint(it.worker));
-    top.scalar("platform", true, read_endpoint(it.platform));
-    read_seeds(top, it);
-    top.scalar("expected_nodes", false,
-               read_number(it.expected_nodes, 1, 1'000'000));
+    mapping_reader in(it, "bounds.", faults);
+    in.scalar("retry_share", false, read_share(into.retries.ratio));
+    in.scalar("retry_slack", false,
+              read_number(into.retries.slack, 0, 1'000'000));
+    in.scalar("retry_window_s", false, read_seconds(into.retries.window));
+    in.scalar("longest_drain_s", false, read_seconds(into.longest_drain));
+    in.scalar("leave_bound_ms", false,
+              read_number(into.leave_bound, 1, 3'600'000));
+    in.reject_unknown();
+}
+
+void read_top(mapping_reader& top, settings& into,
+              std::vector<std::string>& faults)
+{
+    top.scalar("vm", true, read_name(into.vm));
+    top.scalar("service", true, read_name(into.service));
+    top.scalar("data_centre", true, read_name(into.data_centre));
+    top.scalar("region", true, read_name(into.region));
+    read_endpoints(top, into, faults);
+    read_seeds(top, into);
+    read_bounds(top, into, faults);
     top.scalar("traffic_threads", false,
-               read_number(it.traffic_threads, 1, 64));
-    core::strong<struct seconds_tag, std::uint32_t> drain(600);
-    top.scalar("longest_drain_s", false, read_number(drain, 1, 86'400));
-    it.longest_drain = std::chrono::seconds(drain.value());
+               read_number(into.traffic_threads, 1, 16));
+    std::uint64_t unit = 1024UL * 1024;
+    core::byte_count memory_mb{into.memory.value() / unit};
+    top.scalar("memory_mb", false, read_number(memory_mb, 16, 1'000'000));
+    into.memory = core::byte_count(memory_mb.value() * unit);
     top.reject_unknown();
-    return it;
 }
 
 } // namespace
 
 core::result<settings> parse_settings(std::string const& text)
 {
-    if (text.size() > longest_file)
-    {
-        return core::failure(core::error_kind::invalid_settings,
-                             "the file is longer than 64 KiB");
-    }
-    YAML::Node root;
+    std::vector<std::string> faults;
+    settings out;
     try
     {
-        root = YAML::Load(text);
+        auto const document = YAML::Load(text);
+        if (!document.IsMap())
+        {
+            return core::failure(core::error_kind::invalid_settings,
+                                 "line 1: expected a mapping of settings");
+        }
+        mapping_reader top(document, "", faults);
+        read_top(top, out, faults);
     }
     catch (YAML::Exception const& e)
     {
@@ -251,19 +285,12 @@
             core::error_kind::invalid_settings,
             fmt::format("line {}: {}", e.mark.line + 1, e.msg));
     }
-    if (!root.IsMap())
-    {
-        return core::failure(core::error_kind::invalid_settings,
-                             "line 1: expected a mapping of settings");
-    }
-    std::vector<std::string> faults;
-    auto it = read_all(root, faults);
     if (!faults.empty())
     {
         return core::failure(core::error_kind::invalid_settings,
                              fmt::format("{}", fmt::join(faults, "\n")));
     }
-    return it;
+    return out;
 }
 
 core::result<settings> load_settings(std::string const& path)
@@ -272,9 +299,14 @@
     if (!file)
     {
         return core::failure(core::error_kind::invalid_settings,
-                             fmt::format("cannot open \"{}\"", path));
+                             fmt::format("cannot read \"{}\"", path));
+    }
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    if (text.size() > longest_file)
+    {
+        return core::failure(core::error_kind::invalid_settings,
+                             "the file is longer than 64 KiB");
     }
-    std::string const text(std::istreambuf_iterator<char>(file), {});
     return parse_settings(text);
 }
 
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -11,6 +11,7 @@
 #include "core/error.hpp"
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "retries/retry_budget.hpp"
 
 namespace yuccafall::node {
 
@@ -19,23 +20,31 @@
 struct settings
 {
     core::vm_id vm;
+    // Of the worker beside the node.
     core::service_name service;
     core::data_centre data_centre;
     core::region_name region;
+    // Where callers and the worker send their calls.
     core::endpoint callers;
-    core::endpoint traffic;
+    core::endpoint readiness;
+    // Other nodes' control messages.
     core::endpoint control;
-    core::endpoint admin;
+    // Other nodes' calls.
+    core::endpoint traffic;
+    // Metrics, status and explanations.
+    core::endpoint operators;
     core::endpoint worker;
     core::endpoint platform;
-    // Control endpoints that a starting node asks before it has a VM list.
+    // Control endpoints of nodes that may be running already.
     std::vector<core::endpoint> seeds;
-    // Fleet size assumed until the VM list is known; spreads first reads of
-    // the platform.
-    core::node_count expected_nodes{5500};
-    thread_count traffic_threads{2};
-    // Time that a graceful shutdown waits for running calls.
-    core::milliseconds longest_drain{600'000};
+    thread_count traffic_threads{1};
+    retries::budget_settings retries;
+    // From SIGTERM to the end of the process.
+    core::milliseconds longest_drain{6'000};
+    // New work may reach a worker this long after it was reported leaving.
+    core::milliseconds leave_bound{2'000};
+    // The process is ended by the platform above this.
+    core::byte_count memory{260UL * 1024 * 1024};
 };
 
 // Every fault is part of the error's detail, one line each, with its line in
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -1,114 +1,134 @@
-// Builds the traffic path out of its parts.
+// Builds the traffic side and runs its thread.
 #include "node/traffic_plane.hpp"
 
+#include <csignal>
+#include <random>
 #include <utility>
 
-#include "core/log.hpp"
+#include <boost/asio/post.hpp>
 
 namespace yuccafall::node {
 
+namespace asio = boost::asio;
+
 namespace {
 
-// Each calling node keeps a few idle connections here; 5,500 nodes do not
-// all call one service at once.
-constexpr core::connection_count peer_connection_limit{8192};
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+
+ingress::ingress_settings ingress_settings_of(settings const& it)
+{
+    ingress::ingress_settings out;
+    out.service = it.service;
+    out.data_centre = it.data_centre;
+    out.callers = it.callers;
+    out.budget = it.retries;
+    out.seed = random_seed();
+    return out;
+}
+
+// Calls of this node's own callers to its own worker.
+constexpr peers::session_number own_session{0};
 
 } // namespace
 
-core::result<std::unique_ptr<traffic_plane>>
-traffic_plane::start(boost::asio::io_context& pool, settings const& own,
-                     core::incarnation life, traffic_hooks hooks)
+traffic_plane::traffic_plane(node::settings settings,
+                             dialect::functions dialect)
+    : settings_(std::move(settings)), dialect_(dialect),
+      counts_(std::make_shared<ingress::counters>())
+{}
+
+traffic_plane::~traffic_plane()
 {
-    std::unique_ptr<traffic_plane> it(new traffic_plane);
-    it->latch_ = std::make_shared<forwarding::drain_latch>();
-    auto counters = std::make_shared<forwarding::traffic_counters>();
-    forwarding::owner_settings slots;
-    slots.worker = own.worker;
-    it->owner_ = std::make_shared<forwarding::owner>(
-        pool, slots, std::move(hooks.owner), counters);
-    auto context = forwarding::traffic_context_builder(pool)
-                       .self(own.vm, life)
-                       .view(std::make_shared<forwarding::traffic_view const>())
-                       .slots(it->owner_)
-                       .latch(it->latch_)
-                       .policies(std::move(hooks.policies))
-                       .build();
-    if (!context)
-    {
-        return tl::unexpected(context.error());
-    }
-    it->context_ = *context;
-    auto peers = forwarding::peer_server::listen(
-        own.traffic, peer_connection_limit, it->owner_, it->latch_);
+    stop();
+}
+
+core::result<void> traffic_plane::start()
+{
+    owner_ =
+        std::make_shared<upstream::owner>(context_, settings_.worker, dialect_);
+    auto peers = peers::peer_server::listen(
+        context_, settings_.traffic,
+        {[owner = owner_](peers::session_number from, peers::message m,
+                          peers::reply_function reply) {
+             owner->handle(from, std::move(m), std::move(reply));
+         },
+         [owner = owner_](peers::session_number gone) {
+             owner->session_lost(gone);
+         }});
     if (!peers)
     {
         return tl::unexpected(peers.error());
     }
-    it->peers_ = std::move(*peers);
-    auto callers = forwarding::caller_listener::open(own.callers, it->context_);
-    if (!callers)
+    peers_ = std::move(*peers);
+    links_ = std::make_shared<peers::peer_links>(
+        context_, settings_.traffic,
+        [owner = owner_](peers::message m, peers::reply_function reply) {
+            owner->handle(own_session, std::move(m), std::move(reply));
+        });
+    ingress_ = std::make_shared<ingress::ingress>(
+        context_, ingress_settings_of(settings_), dialect_, links_, counts_);
+    if (auto listening = ingress_->listen(); !listening)
     {
-        return tl::unexpected(callers.error());
+        return listening;
     }
-    it->callers_ = std::move(*callers);
-    return it;
-}
-
-void traffic_plane::publish(
-    std::shared_ptr<forwarding::traffic_view const> view)
-{
-    context_->view.publish(std::move(view));
+    work_.emplace(context_.get_executor());
+    // Signals go to the control thread.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    thread_ = std::thread([this] { context_.run(); });
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    return {};
 }
 
-void traffic_plane::change_limits(tables::pool const& pool)
+void traffic_plane::publish(std::shared_ptr<ingress::traffic_view const> view)
 {
-    admission::slot_limits limits;
-    limits.slots = pool.slots;
-    limits.reserved_for_short = pool.reserved_for_short;
-    limits.queue = pool.queue;
-    owner_->change_limits(limits, pool.connections);
+    asio::post(context_, [this, view = std::move(view)]() mutable {
+        owner_->set_workers(view->beside);
+        ingress_->set_view(std::move(view));
+    });
 }
 
-void traffic_plane::paused()
+void traffic_plane::start_leaving()
 {
-    owner_->paused();
+    asio::post(context_, [this] {
+        ingress_->start_leaving();
+        owner_->start_leaving();
+    });
 }
 
-void traffic_plane::on_strand(std::function<void()> work)
+void traffic_plane::stop_taking()
 {
-    owner_->on_strand(std::move(work));
+    asio::post(context_, [this] { ingress_->stop_taking(); });
 }
 
-void traffic_plane::start_leaving(std::function<void()> done)
+void traffic_plane::ask_state(std::function<void(traffic_state)> done)
 {
-    owner_->start_leaving();
-    latch_->start_leaving(std::move(done));
+    asio::post(context_, [this, done = std::move(done)] {
+        done({ingress_->requests_open(), owner_->running(),
+              ingress_->last_request()});
+    });
 }
 
-void traffic_plane::worker_leaving(bool leaving)
+void traffic_plane::stop()
 {
-    if (latch_->leaving())
+    if (!thread_.joinable())
     {
         return;
     }
-    if (leaving)
-    {
-        owner_->start_leaving();
-        return;
-    }
-    owner_->end_leaving();
-}
-
-void traffic_plane::close()
-{
-    if (peers_)
-    {
-        peers_->close(nullptr);
-    }
-    if (callers_)
-    {
-        callers_->close();
-    }
+    asio::post(context_, [this] {
+        ingress_->stop();
+        peers_->stop();
+        owner_->close();
+        work_.reset();
+        context_.stop();
+    });
+    thread_.join();
 }
 
 } // namespace yuccafall::node
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -1,64 +1,63 @@
-// The traffic threads' part of a node: the listener for callers, the server
-// for other nodes, and the owner of the worker's slots.
+// The traffic threads: callers' sides on all of them, the owner of the worker
+// on the first. They share nothing but immutable views and counters.
 #ifndef YUCCAFALL_NODE_TRAFFIC_PLANE_HPP
 #define YUCCAFALL_NODE_TRAFFIC_PLANE_HPP
 
 #include <functional>
 #include <memory>
-#include <optional>
+#include <thread>
+#include <vector>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "core/ids.hpp"
-#include "forwarding/caller_listener.hpp"
-#include "forwarding/drain_latch.hpp"
-#include "forwarding/owner.hpp"
-#include "forwarding/peer_server.hpp"
-#include "forwarding/traffic_context.hpp"
-#include "node/call_guards.hpp"
+#include "dialect/dialect.hpp"
+#include "ingress/ingress.hpp"
 #include "node/settings.hpp"
-#include "tables/tables.hpp"
+#include "peers/peer_server.hpp"
+#include "upstream/owner.hpp"
 
 namespace yuccafall::node {
 
+struct traffic_state
+{
+    std::size_t requests_open = 0;
+    std::size_t running = 0;
+    core::instant last_request{};
+};
+
+// Public functions are called on the control thread.
 class traffic_plane
 {
 public:
-    static core::result<std::unique_ptr<traffic_plane>>
-    start(boost::asio::io_context& pool, settings const& own,
-          core::incarnation life, traffic_hooks hooks);
+    traffic_plane(node::settings settings, dialect::functions dialect);
+    ~traffic_plane();
 
-    void publish(std::shared_ptr<forwarding::traffic_view const> view);
-    void change_limits(tables::pool const& pool);
-    void paused();
-    // Runs the function on the strand of the slot owner.
-    void on_strand(std::function<void()> work);
+    core::result<void> start();
 
-    // Refuses new work from now on; done is called on a traffic thread when
-    // the last call has ended.
-    void start_leaving(std::function<void()> done);
-    // The worker drains or has stopped draining; callers are still served.
-    void worker_leaving(bool leaving);
-    // On the control thread, after start_leaving's done or its time limit.
-    void close();
+    void publish(std::shared_ptr<ingress::traffic_view const> view);
+    void start_leaving();
+    void stop_taking();
+    // The handler runs on a traffic thread.
+    void ask_state(std::function<void(traffic_state)> done);
+    // Ends the threads.
+    void stop();
 
-    bool takes_calls() const
-    {
-        return context_->view.load()->ready && !latch_->leaving();
-    }
-    forwarding::traffic_counters const& counters() const
-    {
-        return *context_->counters;
-    }
+    std::shared_ptr<ingress::counters> const& counts() const { return counts_; }
 
 private:
-    traffic_plane() = default;
-
-    std::shared_ptr<forwarding::drain_latch> latch_;
-    std::shared_ptr<forwarding::owner> owner_;
-    std::shared_ptr<forwarding::traffic_context> context_;
-    std::optional<forwarding::peer_server> peers_;
-    std::optional<forwarding::caller_listener> callers_;
+    node::settings settings_;
+    dialect::functions dialect_;
+    std::shared_ptr<ingress::counters> counts_;
+    boost::asio::io_context context_{1};
+    std::optional<boost::asio::executor_work_guard<
+        boost::asio::io_context::executor_type>>
+        work_;
+    std::shared_ptr<upstream::owner> owner_;
+    std::shared_ptr<peers::peer_server> peers_;
+    std::shared_ptr<peers::peer_links> links_;
+    std::shared_ptr<ingress::ingress> ingress_;
+    std::thread thread_;
 };
 
 } // namespace yuccafall::node
--- /dev/null
+++ b/src/peers/peer_links.cpp
@@ -0,0 +1,304 @@
+// One link for each node and lane; calls wait in it until it is connected.
+#include "peers/peer_links.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "core/log.hpp"
+#include "core/overloaded.hpp"
+#include "peers/codec.hpp"
+
+namespace yuccafall::peers {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+core::call_id call_of(message const& it)
+{
+    return std::visit(
+        core::overloaded{[](ping const&) { return core::call_id{}; },
+                         [](pong const&) { return core::call_id{}; },
+                         [](auto const& m) { return m.call; }},
+        it);
+}
+
+} // namespace
+
+class peer_links::link : public std::enable_shared_from_this<link>
+{
+public:
+    link(asio::io_context& context, route_to_node to, link_settings settings)
+        : context_(context), timer_(context), to_(std::move(to)),
+          settings_(settings)
+    {}
+
+    void connect()
+    {
+        transport::connection_options options;
+        options.idle_timeout = settings_.idle_timeout;
+        transport::frame_connection::connect(
+            context_.get_executor(), to_.node, transport::channel_kind::traffic,
+            options, settings_.connect_timeout,
+            [self = shared_from_this()](
+                core::result<std::shared_ptr<transport::frame_connection>> it) {
+                if (!it)
+                {
+                    self->lost(it.error().detail);
+                    return;
+                }
+                self->connected(std::move(*it));
+            });
+    }
+
+    void open(core::call_id const& call, call_handlers handlers)
+    {
+        if (calls_.empty())
+        {
+            last_received_ = core::boot_clock::now();
+        }
+        calls_.emplace(call, entry{std::move(handlers)});
+        watch_silence();
+    }
+
+    void send(message const& it)
+    {
+        auto frame = encode(it);
+        if (!connection_)
+        {
+            waiting_.emplace_back(call_of(it), std::move(frame));
+            return;
+        }
+        transmit(call_of(it), std::move(frame));
+    }
+
+    void close(core::call_id const& call) { calls_.erase(call); }
+
+    bool is_broken() const { return broken_; }
+
+    void shut_down()
+    {
+        broken_ = true;
+        calls_.clear();
+        timer_.cancel();
+        if (connection_)
+        {
+            connection_->release();
+        }
+    }
+
+private:
+    struct entry
+    {
+        call_handlers handlers;
+        bool sent = false;
+    };
+
+    void connected(std::shared_ptr<transport::frame_connection> connection)
+    {
+        if (broken_)
+        {
+            connection->release();
+            return;
+        }
+        connection_ = std::move(connection);
+        last_received_ = core::boot_clock::now();
+        connection_->start(
+            {[self = shared_from_this()](std::string frame) {
+                 self->received(frame);
+             },
+             nullptr,
+             [self = shared_from_this()](core::error const& reason) {
+                 self->lost(reason.detail);
+             }});
+        for (auto& [call, frame] : std::exchange(waiting_, {}))
+        {
+            // Calls that were closed meanwhile are not sent at all.
+            if (calls_.count(call) != 0)
+            {
+                transmit(call, std::move(frame));
+            }
+        }
+    }
+
+    void transmit(core::call_id const& call, std::string frame)
+    {
+        auto const found = calls_.find(call);
+        if (found != calls_.end())
+        {
+            found->second.sent = true;
+        }
+        connection_->send(std::move(frame));
+    }
+
+    void received(std::string const& frame)
+    {
+        last_received_ = core::boot_clock::now();
+        auto it = decode(frame);
+        if (!it)
+        {
+            connection_->close(it.error());
+            return;
+        }
+        if (std::holds_alternative<ping>(*it))
+        {
+            connection_->send(encode(pong{}));
+            return;
+        }
+        auto const found = calls_.find(call_of(*it));
+        if (found != calls_.end())
+        {
+            // Copied: the handler may close the call.
+            auto const handler = found->second.handlers.received;
+            handler(std::move(*it));
+        }
+    }
+
+    // Runs only while calls wait, so that an idle link costs nothing.
+    void watch_silence()
+    {
+        if (std::exchange(watching_, true))
+        {
+            return;
+        }
+        timer_.expires_after(settings_.ping_after);
+        timer_.async_wait([weak = weak_from_this()](error_code const& ec) {
+            auto const self = weak.lock();
+            if (!self || ec)
+            {
+                return;
+            }
+            self->watching_ = false;
+            self->look_at_silence();
+        });
+    }
+
+    void look_at_silence()
+    {
+        if (broken_ || calls_.empty())
+        {
+            return;
+        }
+        auto const silence = core::boot_clock::now() - last_received_;
+        if (connection_ && silence >= settings_.give_up_after)
+        {
+            connection_->close({core::error_kind::io, "no sign of life"});
+            return;
+        }
+        if (connection_ && silence >= settings_.ping_after)
+        {
+            connection_->send(encode(ping{}));
+        }
+        watch_silence();
+    }
+
+    void lost(std::string const& reason)
+    {
+        if (std::exchange(broken_, true))
+        {
+            return;
+        }
+        core::log_event(core::log_level::warning, "peer_lost",
+                        {{"node", core::to_string(to_.node)},
+                         {"calls", calls_.size()},
+                         {"reason", reason}});
+        timer_.cancel();
+        connection_.reset();
+        for (auto& [call, it] : std::exchange(calls_, {}))
+        {
+            it.handlers.lost({it.sent, reason});
+        }
+    }
+
+    asio::io_context& context_;
+    asio::steady_timer timer_;
+    route_to_node to_;
+    link_settings settings_;
+    // Null until connected.
+    std::shared_ptr<transport::frame_connection> connection_;
+    std::map<core::call_id, entry> calls_;
+    std::vector<std::pair<core::call_id, std::string>> waiting_;
+    core::instant last_received_{};
+    bool watching_ = false;
+    // Invariant: once set, never cleared; the next call makes a new link.
+    bool broken_ = false;
+};
+
+peer_links::peer_links(asio::io_context& context, core::endpoint self,
+                       local_owner local, link_settings settings)
+    : context_(context), self_(std::move(self)), local_(std::move(local)),
+      settings_(settings), self_pointer_(std::make_shared<peer_links*>(this))
+{}
+
+peer_links::~peer_links()
+{
+    *self_pointer_ = nullptr;
+    for (auto const& [to, it] : links_)
+    {
+        it->shut_down();
+    }
+}
+
+void peer_links::open(route_to_node const& to, core::call_id const& call,
+                      call_handlers handlers)
+{
+    if (to.node == self_)
+    {
+        local_calls_.emplace(call, std::move(handlers));
+        return;
+    }
+    auto& it = links_[to];
+    if (!it || it->is_broken())
+    {
+        it = std::make_shared<link>(context_, to, settings_);
+        it->connect();
+    }
+    it->open(call, std::move(handlers));
+}
+
+void peer_links::send(route_to_node const& to, message const& it)
+{
+    if (to.node != self_)
+    {
+        auto const found = links_.find(to);
+        if (found != links_.end())
+        {
+            found->second->send(it);
+        }
+        return;
+    }
+    auto reply = [pointer = self_pointer_, &context = context_](message m) {
+        asio::post(context, [pointer, m = std::move(m)]() mutable {
+            if (*pointer == nullptr)
+            {
+                return;
+            }
+            auto& calls = (*pointer)->local_calls_;
+            auto const found = calls.find(call_of(m));
+            if (found != calls.end())
+            {
+                auto const handler = found->second.received;
+                handler(std::move(m));
+            }
+        });
+    };
+    local_(it, std::move(reply));
+}
+
+void peer_links::close(route_to_node const& to, core::call_id const& call)
+{
+    if (to.node == self_)
+    {
+        local_calls_.erase(call);
+        return;
+    }
+    auto const found = links_.find(to);
+    if (found != links_.end())
+    {
+        found->second->close(call);
+    }
+}
+
+} // namespace yuccafall::peers
--- /dev/null
+++ b/src/peers/peer_server.hpp
@@ -0,0 +1,59 @@
+// Accepts the connections of other nodes' callers' side and passes their
+// messages on with a number for the session.
+#ifndef YUCCAFALL_PEERS_PEER_SERVER_HPP
+#define YUCCAFALL_PEERS_PEER_SERVER_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "peers/messages.hpp"
+#include "transport/frame_acceptor.hpp"
+
+namespace yuccafall::peers {
+
+// Numbers of sessions count up from 1 and are never used again; 0 is this
+// process itself.
+using session_number = core::strong<struct session_number_tag, std::uint64_t>;
+
+struct session_handlers
+{
+    // The reply may be called at any later time.
+    std::function<void(session_number, message,
+                       std::function<void(message)> reply)>
+        received;
+    std::function<void(session_number)> lost;
+};
+
+class peer_server : public std::enable_shared_from_this<peer_server>
+{
+public:
+    static core::result<std::shared_ptr<peer_server>>
+    listen(boost::asio::io_context& context, core::endpoint const& at,
+           session_handlers handlers);
+
+    explicit peer_server(session_handlers handlers)
+        : handlers_(std::move(handlers))
+    {}
+
+    core::endpoint local() const { return acceptor_->local(); }
+    void stop()
+    {
+        acceptor_->close([] {});
+    }
+
+private:
+    void accepted(std::shared_ptr<transport::frame_connection> const& it);
+
+    session_handlers handlers_;
+    std::shared_ptr<transport::frame_acceptor> acceptor_;
+    std::uint64_t last_session_ = 0;
+};
+
+} // namespace yuccafall::peers
+
+#endif
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -28,8 +28,10 @@
     // A connection without a frame in either direction for this long is
     // closed. Zero: never.
     core::milliseconds idle_timeout{0};
-    // A peer that does not read is cut off rather than buffered for.
-    core::byte_count queue_limit{2UL * 1024 * 1024};
+    // A peer that does not read is cut off rather than buffered for. Holds one
+    // frame of the greatest size, and what else waits.
+    core::byte_count queue_limit{traffic_frame_limit.value() +
+                                 6UL * 1024 * 1024};
 };
 
 // All called on the connection's executor.
--- a/src/transport/frame_reader.hpp
+++ b/src/transport/frame_reader.hpp
@@ -20,7 +20,8 @@
     control = 2,
 };
 
-inline constexpr core::byte_count traffic_frame_limit{256UL * 1024};
+// A whole body of the greatest size that a configuration allows.
+inline constexpr core::byte_count traffic_frame_limit{66UL * 1024 * 1024};
 inline constexpr core::byte_count control_frame_limit{4UL * 1024 * 1024};
 
 constexpr core::byte_count frame_limit_of(channel_kind kind)
--- /dev/null
+++ b/src/upstream/owner.cpp
@@ -0,0 +1,368 @@
+// Connects the slot queue with sessions and the worker.
+#include "upstream/owner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "core/log.hpp"
+#include "core/overloaded.hpp"
+
+namespace yuccafall::upstream {
+
+using core::error_kind;
+
+namespace {
+
+// Beyond its own time limit a worker has this long to say so, before its
+// connection is closed.
+constexpr core::milliseconds worker_grace{300};
+
+// No calls are tried at a worker that refused a connection for this long.
+constexpr core::milliseconds unreachable_pause{250};
+
+// Weight of a new observation in the share of rejected calls.
+constexpr double newest = 0.08;
+
+core::milliseconds whole_milliseconds(core::duration it)
+{
+    return std::chrono::duration_cast<core::milliseconds>(it);
+}
+
+} // namespace
+
+owner::owner(boost::asio::io_context& context, core::endpoint worker,
+             dialect::functions dialect)
+    : context_(context), timer_(context), dialect_(dialect),
+      leg_(std::make_shared<worker_leg>(context, std::move(worker), dialect)),
+      queue_({})
+{}
+
+void owner::handle(session_id from, peers::message message,
+                   reply_function reply)
+{
+    std::visit(core::overloaded{
+                   [&](peers::offer& it) { on(from, it, std::move(reply)); },
+                   [&](peers::body& it) { on(from, it); },
+                   [&](peers::cancel& it) { on(from, it); },
+                   [&](peers::ping&) { reply(peers::pong{}); },
+                   // Answers are for callers' nodes; here they mean nothing.
+                   [](auto&) {}},
+               message);
+}
+
+void owner::on(session_id from, peers::offer& it, reply_function reply)
+{
+    ++counts_.offers;
+    auto const now = core::boot_clock::now();
+    key const id{core::incarnation(0), ++next_key_};
+    entry call{from, std::move(it), std::move(reply), {}, {}, false};
+    call.deadline = now + call.offer.remaining;
+    auto const listed = workers_.find(call.offer.upstream);
+    if (listed != workers_.end() && listed->second.draining)
+    {
+        refuse(call, error_kind::leaving, {}, false);
+        return;
+    }
+    if (now < unreachable_until_)
+    {
+        refuse(call, error_kind::no_upstream, unreachable_pause, false);
+        return;
+    }
+    admission::job job;
+    job.call = id;
+    job.route = call.offer.route;
+    job.rank = call.offer.rank;
+    job.deadline = call.deadline;
+    job.aim = now + call.offer.aim_remaining;
+    job.awaits_body = call.offer.body_follows;
+    keys_.emplace(std::pair(from, call.offer.call), id);
+    calls_.emplace(id, std::move(call));
+    feed(admission::offered{job});
+}
+
+void owner::on(session_id from, peers::body& it)
+{
+    auto const found = keys_.find({from, it.call});
+    if (found == keys_.end())
+    {
+        return;
+    }
+    auto const id = found->second;
+    calls_.at(id).offer.message.body = std::move(it.bytes);
+    feed(admission::body_arrived{id});
+}
+
+void owner::on(session_id from, peers::cancel const& it)
+{
+    auto const found = keys_.find({from, it.call});
+    if (found == keys_.end())
+    {
+        return;
+    }
+    auto const id = found->second;
+    cancel(id, calls_.at(id));
+}
+
+// A run that may not be repeated is left to end: to break it off would leave
+// unknown how much of it was done.
+void owner::cancel(key const& id, entry& it)
+{
+    ++counts_.canceled;
+    it.canceled = true;
+    if (!it.run)
+    {
+        keys_.erase({it.session, it.offer.call});
+        calls_.erase(id);
+        feed(admission::cancelled{id});
+        return;
+    }
+    if (routing::is_idempotent(it.offer.kind))
+    {
+        it.run->abort();
+    }
+}
+
+void owner::session_lost(session_id gone)
+{
+    std::vector<key> ids;
+    for (auto const& [name, id] : keys_)
+    {
+        if (name.first == gone)
+        {
+            ids.push_back(id);
+        }
+    }
+    for (auto const& id : ids)
+    {
+        cancel(id, calls_.at(id));
+    }
+}
+
+void owner::set_workers(std::vector<listed_worker> const& workers)
+{
+    workers_.clear();
+    for (auto const& it : workers)
+    {
+        workers_.emplace(it.id, it);
+        if (!it.draining && it.slots != queue_.slots())
+        {
+            feed(admission::slots_changed{it.slots});
+        }
+    }
+}
+
+void owner::start_leaving()
+{
+    if (!std::exchange(leaving_, true))
+    {
+        feed(admission::leave_started{});
+    }
+}
+
+void owner::close()
+{
+    timer_.cancel();
+    leg_->close();
+}
+
+void owner::feed(admission::event const& it)
+{
+    auto const actions = queue_.handle(it, core::boot_clock::now());
+    for (auto const& a : actions)
+    {
+        act(a);
+    }
+    watch_time();
+}
+
+void owner::act(admission::action const& it)
+{
+    std::visit([this](auto const& a) { act(a); }, it);
+}
+
+void owner::act(admission::ask_for_body const& it)
+{
+    auto const& call = calls_.at(it.call);
+    call.reply(peers::body_wanted{call.offer.call});
+}
+
+void owner::act(admission::start const& it)
+{
+    run(it.call, calls_.at(it.call));
+}
+
+void owner::act(admission::refuse const& it)
+{
+    auto const found = calls_.find(it.call);
+    auto const call = std::move(found->second);
+    calls_.erase(found);
+    keys_.erase({call.session, call.offer.call});
+    refuse(call, it.kind, it.retry_after, false);
+}
+
+void owner::refuse(entry const& it, error_kind kind,
+                   core::milliseconds retry_after, bool reached_worker)
+{
+    ++counts_.refused;
+    if (core::admit_request_line(core::request_event::exceptional))
+    {
+        core::log_event(core::log_level::info, "call_refused",
+                        {{"request", it.offer.request.value()},
+                         {"upstream", it.offer.upstream.value()},
+                         {"kind", core::answer_of(kind).name},
+                         {"rank", it.offer.rank.value()},
+                         {"remaining_ms", it.offer.remaining.count()},
+                         {"running", queue_.running()},
+                         {"waiting", queue_.waiting()},
+                         {"slots", queue_.slots().value()},
+                         {"retry_after_ms", retry_after.count()}});
+    }
+    it.reply(peers::refused{it.offer.call, kind, retry_after, reached_worker,
+                            load()});
+}
+
+void owner::run(key const& id, entry& it)
+{
+    ++counts_.runs;
+    auto const now = core::boot_clock::now();
+    auto const remaining =
+        std::max(whole_milliseconds(it.deadline - now), core::milliseconds(1));
+    auto message = std::move(it.offer.message);
+    dialect_.mark_for_worker(message.headers,
+                             {it.offer.upstream, remaining, it.offer.origin});
+    it.run = leg_->start(message, it.offer.request, remaining + worker_grace,
+                         [self = shared_from_this(), id](worker_outcome how) {
+                             self->ended(id, std::move(how));
+                         });
+}
+
+void owner::ended(key const& id, worker_outcome outcome)
+{
+    auto const found = calls_.find(id);
+    auto call = std::move(found->second);
+    calls_.erase(found);
+    keys_.erase({call.session, call.offer.call});
+
+    bool const completed = std::holds_alternative<worker_answered>(outcome);
+    bool const rejected = std::holds_alternative<worker_refused>(outcome);
+    auto const* load = std::visit(
+        core::overloaded{
+            [](worker_answered const& it) { return &it.marks.load; },
+            [](worker_refused const& it) { return &it.marks.load; },
+            [](worker_failed const& it) { return &it.load; },
+            [](worker_unreachable const&) {
+                return static_cast<
+                    std::optional<admission::worker_load> const*>(nullptr);
+            }},
+        outcome);
+    if (load != nullptr && *load)
+    {
+        feed(admission::load_reported{**load});
+    }
+    if (rejected)
+    {
+        feed(admission::worker_rejected{});
+    }
+    if (completed || rejected)
+    {
+        observe_rejection(rejected);
+    }
+    feed(admission::run_ended{id, completed ? admission::run_end::completed
+                                            : admission::run_end::cut_short});
+    std::visit([&](auto& it) { settle(call, it); }, outcome);
+}
+
+void owner::observe_rejection(bool rejected)
+{
+    rejecting_ += newest * ((rejected ? 1.0 : 0.0) - rejecting_);
+}
+
+void owner::settle(entry& it, worker_answered& how)
+{
+    it.reply(peers::answered{it.offer.call, std::move(how.message), load()});
+}
+
+void owner::settle(entry& it, worker_refused& how)
+{
+    ++counts_.rejected_by_worker;
+    refuse(it,
+           how.marks.wrong_worker ? error_kind::wrong_upstream
+                                  : error_kind::upstream_rejected,
+           {}, true);
+}
+
+void owner::settle(entry& it, worker_unreachable& how)
+{
+    if (it.canceled)
+    {
+        return;
+    }
+    unreachable_until_ = core::boot_clock::now() + unreachable_pause;
+    core::log_event(
+        core::log_level::warning, "worker_unreachable",
+        {{"upstream", it.offer.upstream.value()}, {"reason", how.reason}});
+    refuse(it, error_kind::no_upstream, unreachable_pause, false);
+}
+
+void owner::settle(entry& it, worker_failed& how)
+{
+    if (it.canceled)
+    {
+        return;
+    }
+    ++counts_.failed;
+    auto const kind = how.cause == http::failure_cause::timed_out
+                          ? error_kind::deadline_passed
+                          : error_kind::upstream_failed;
+    if (core::admit_request_line(core::request_event::exceptional))
+    {
+        core::log_event(core::log_level::info, "run_failed",
+                        {{"request", it.offer.request.value()},
+                         {"upstream", it.offer.upstream.value()},
+                         {"kind", core::answer_of(kind).name},
+                         {"reason", how.reason},
+                         {"running", queue_.running()}});
+    }
+    it.reply(peers::failed{it.offer.call, kind, std::move(how.reason), load()});
+}
+
+balancing::load_report owner::load() const
+{
+    balancing::load_report it;
+    it.running = core::slot_count(static_cast<std::uint32_t>(queue_.running()));
+    it.waiting =
+        core::queue_length(static_cast<std::uint32_t>(queue_.waiting()));
+    it.slots = queue_.slots();
+    it.mean_run = queue_.mean_run(core::boot_clock::now());
+    it.pace = queue_.pace();
+    it.rejecting =
+        core::percentage(static_cast<std::uint32_t>(rejecting_ * 100));
+    return it;
+}
+
+// One timer for the queue; set again only where it is due sooner.
+void owner::watch_time()
+{
+    auto const due = queue_.next_wake();
+    auto const now = core::boot_clock::now();
+    bool const is_set = timer_due_ > now;
+    if (!due || (is_set && timer_due_ <= *due))
+    {
+        return;
+    }
+    // At least a millisecond away: timers are no finer than that.
+    timer_due_ = std::max(*due, now + core::milliseconds(1));
+    timer_.expires_after(timer_due_ - now);
+    timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code const& ec) {
+            if (auto const self = weak.lock(); self && !ec)
+            {
+                self->timer_due_ = {};
+                self->feed(admission::time_passed{});
+            }
+        });
+}
+
+} // namespace yuccafall::upstream
