Membership: Stop waiting calls of a worker that leaves

Two ways led there: the queue kept waiting calls of a draining worker, and an entry that was removed shortly after the store's return counted for 2.3 s from its removal instead of from the return.

--- a/src/membership/worker_directory.cpp
+++ b/src/membership/worker_directory.cpp
@@ -21,12 +21,6 @@
     return std::visit([&](auto const& it) { return on(it, now); }, event);
 }
 
-bool worker_directory::is_recovering(core::instant now) const
-{
-    return store_away_ ||
-           (store_back_ && now - *store_back_ < settings_.store_recovery);
-}
-
 bool worker_directory::on(entry_written const& it, core::instant)
 {
     auto& known = records_[it.entry.id];
@@ -49,21 +43,18 @@
         records_.erase(found);
         return false;
     }
-    found->second.forget_at =
-        now + (is_recovering(now) ? settings_.removal_delay_after_outage
-                                  : settings_.removal_delay);
-    return false;
-}
-
-bool worker_directory::on(store_lost const&, core::instant)
-{
-    store_away_ = true;
+    auto forget_at = now + settings_.removal_delay;
+    if (store_back_)
+    {
+        forget_at =
+            std::max(forget_at, *store_back_ + settings_.rewritten_after);
+    }
+    found->second.forget_at = forget_at;
     return false;
 }
 
 bool worker_directory::on(store_regained const&, core::instant now)
 {
-    store_away_ = false;
     store_back_ = now;
     return false;
 }
--- a/src/membership/worker_directory.hpp
+++ b/src/membership/worker_directory.hpp
@@ -18,13 +18,13 @@
 
 struct directory_settings
 {
-    // How long a removed entry counts where the store has been well. Below
-    // the platform's bound on new work to a worker that has left.
-    core::milliseconds removal_delay{1'000};
-    // The same within store_recovery of the store's return: workers that live
-    // are back by then.
-    core::milliseconds removal_delay_after_outage{2'300};
-    core::milliseconds store_recovery{3'000};
+    // How long a removed entry counts where the store has been well: covers
+    // entries that lapsed in an outage which this node did not notice. Well
+    // below the platform's bound on new work to a worker that has left.
+    core::milliseconds removal_delay{600};
+    // From the store's return until workers that live have written their
+    // entries again.
+    core::milliseconds rewritten_after{2'300};
 };
 
 // Events.
@@ -41,15 +41,13 @@
 {
     core::upstream_id id;
 };
-struct store_lost
-{};
 struct store_regained
 {};
 struct time_passed
 {};
 using directory_event =
-    std::variant<entry_written, entry_unreadable, entry_removed, store_lost,
-                 store_regained, time_passed>;
+    std::variant<entry_written, entry_unreadable, entry_removed, store_regained,
+                 time_passed>;
 
 class worker_directory
 {
@@ -81,14 +79,11 @@
     bool on(entry_written const& it, core::instant now);
     bool on(entry_unreadable const&, core::instant) { return false; }
     bool on(entry_removed const& it, core::instant now);
-    bool on(store_lost const&, core::instant now);
     bool on(store_regained const&, core::instant now);
     bool on(time_passed const&, core::instant now);
-    bool is_recovering(core::instant now) const;
 
     directory_settings settings_;
     std::map<core::upstream_id, record> records_;
-    bool store_away_ = false;
     std::optional<core::instant> store_back_;
 };
 
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -20,15 +20,6 @@
     return (std::uint64_t{device()} << 32) | device();
 }
 
-membership::directory_settings directory_settings_of(settings const& it)
-{
-    membership::directory_settings out;
-    // Half of the bound is left for the store's answer and for calls that are
-    // under way.
-    out.removal_delay = it.leave_bound / 2;
-    return out;
-}
-
 } // namespace
 
 control_plane::control_plane(boost::asio::io_context& context,
@@ -37,7 +28,7 @@
       publish_(std::move(publish)),
       store_(std::make_shared<platform::store_client>(
           context, platform::store_settings{settings_.platform})),
-      reader_({}, random_seed()), directory_(directory_settings_of(settings_))
+      reader_({}, random_seed())
 {}
 
 void control_plane::start()
@@ -148,7 +139,6 @@
     store_reachable_ = false;
     core::log_event(core::log_level::warning, "store_lost",
                     {{"reason", it.reason}, {"as_of", state_.as_of().value()}});
-    tell_directory(membership::store_lost{});
 }
 
 void control_plane::act(replication::report_regained const&)
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -238,8 +238,6 @@
               read_number(into.retries.slack, 0, 1'000'000));
     in.scalar("retry_window_s", false, read_seconds(into.retries.window));
     in.scalar("longest_drain_s", false, read_seconds(into.longest_drain));
-    in.scalar("leave_bound_ms", false,
-              read_number(into.leave_bound, 1, 3'600'000));
     in.reject_unknown();
 }
 
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -41,8 +41,6 @@
     retries::budget_settings retries;
     // From SIGTERM to the end of the process.
     core::milliseconds longest_drain{6'000};
-    // New work may reach a worker this long after it was reported leaving.
-    core::milliseconds leave_bound{2'000};
     // The process is ended by the platform above this.
     core::byte_count memory{260UL * 1024 * 1024};
 };
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -39,7 +39,10 @@
             read_page{pages_.empty() ? std::string() : pages_.back().key});
         return;
     }
-    out.emplace_back(watch{after_, settings_.watch_wait});
+    // A store that has failed is asked to answer at once, so that its return is
+    // not mistaken for silence.
+    out.emplace_back(
+        watch{after_, lost_ ? core::milliseconds(0) : settings_.watch_wait});
 }
 
 void store_reader::on(page_read const& it, core::instant, actions& out)
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -142,15 +142,32 @@
 
 void owner::set_workers(std::vector<listed_worker> const& workers)
 {
+    // A worker that has never been listed takes calls all the same: the list
+    // may not be known yet.
+    bool all_drain = !workers.empty() || !workers_.empty() || gone_;
     workers_.clear();
     for (auto const& it : workers)
     {
         workers_.emplace(it.id, it);
+        all_drain = all_drain && it.draining;
+        gone_ = false;
         if (!it.draining && it.slots != queue_.slots())
         {
             feed(admission::slots_changed{it.slots});
         }
     }
+    gone_ = all_drain && workers.empty();
+    if (leaving_)
+    {
+        return;
+    }
+    // What waits for a worker that leaves finds a place elsewhere sooner.
+    if (all_drain)
+    {
+        feed(admission::leave_started{});
+        return;
+    }
+    feed(admission::leave_ended{});
 }
 
 void owner::start_leaving()
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -113,6 +113,8 @@
     double rejecting_ = 0;
     core::instant unreachable_until_{};
     bool leaving_ = false;
+    // The worker beside this node was listed and is not any more.
+    bool gone_ = false;
     owner_counts counts_;
 };
 
