Balancing: Choose upstreams by expected answer and tell loads as they change

Reports came with answers only, half a second old on average, and the mean time in a slot mixed routes: a worker that got short calls looked fast and got more of everything.

Change: slot time is kept by route and by worker, so that a worker's slowness is not a matter of its mix; nodes that offered calls lately are told a load when it changes near full, at most every 50 ms; reports carry the expected wait for the first and the last in the queue. Routes with a time limit up to 0.7 s are taken to serve running requests and go first. Calls that can meet their aim go before late ones; the aim counts from the caller's first attempt, told by the patience that is left.

A trial that told a worker's calls by their source address failed: callers share the address of their machine.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -2,7 +2,7 @@
 #include "admission/slot_queue.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace yuccafall::admission {
 
@@ -33,9 +33,15 @@
     return times_.expected(route);
 }
 
-core::milliseconds slot_queue::mean_run(core::instant) const
+core::milliseconds slot_queue::wait_first(core::instant now) const
 {
-    return whole_milliseconds(times_.mean());
+    precedence const first{false, core::rank(0), false, core::instant::min()};
+    return whole_milliseconds(wait_behind(first, now));
+}
+
+core::milliseconds slot_queue::wait_last(core::instant now) const
+{
+    return whole_milliseconds(wait_behind({}, now));
 }
 
 std::size_t slot_queue::usable_slots(core::instant now) const
@@ -46,8 +52,15 @@
     return slots - std::min(slots, foreign);
 }
 
-core::duration slot_queue::wait_for(core::rank rank, core::instant aim,
-                                    core::instant now) const
+slot_queue::precedence slot_queue::precedence_of(queued const& it,
+                                                 core::instant now)
+{
+    return {!it.job.nested, it.job.rank, now + it.expected > it.job.aim,
+            it.job.aim};
+}
+
+core::duration slot_queue::wait_behind(std::optional<precedence> const& place,
+                                       core::instant now) const
 {
     std::size_t const slots = std::max(settings_.slots.value(), 1U);
     core::duration work{};
@@ -58,13 +71,13 @@
     std::size_t ahead = 0;
     for (auto const& [call, it] : waiting_)
     {
-        if (std::tie(it.job.rank, it.job.aim) <= std::tie(rank, aim))
+        if (!place || precedence_of(it, now) < *place)
         {
             work += it.expected;
             ++ahead;
         }
     }
-    auto const foreign = slots - usable_slots(now);
+    auto const foreign = slots - std::min(slots, usable_slots(now));
     work += times_.mean() * static_cast<long>(foreign) / 2;
     if (running_.size() + foreign + ahead < slots)
     {
@@ -73,19 +86,39 @@
     return work / static_cast<long>(slots);
 }
 
-std::size_t slot_queue::late_waiting(core::instant now) const
+std::size_t slot_queue::late_limit() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(waiting_.begin(), waiting_.end(), [&](auto const& it) {
-            return now + it.second.expected > it.second.job.aim;
-        }));
+    return settings_.slots.value() * settings_.late_waiting.value() / 100;
 }
 
 core::milliseconds slot_queue::room_in(core::instant now) const
 {
-    auto const wait = wait_for(core::rank(~0U), core::instant::max(), now);
-    return std::clamp(whole_milliseconds(wait), shortest_retry_after,
-                      longest_retry_after);
+    return std::clamp(whole_milliseconds(wait_behind({}, now)),
+                      shortest_retry_after, longest_retry_after);
+}
+
+void slot_queue::trim_late(core::instant now, actions& out)
+{
+    std::vector<std::pair<core::instant, core::call_id>> late;
+    for (auto const& [call, it] : waiting_)
+    {
+        if (!it.job.nested && precedence_of(it, now).late)
+        {
+            late.emplace_back(it.job.aim, call);
+        }
+    }
+    if (late.size() <= late_limit())
+    {
+        return;
+    }
+    std::sort(late.begin(), late.end());
+    // The oldest have the least use of a slot.
+    for (std::size_t i = 0; i + late_limit() < late.size(); ++i)
+    {
+        out.emplace_back(
+            refuse{late[i].second, core::error_kind::overloaded, room_in(now)});
+        waiting_.erase(late[i].second);
+    }
 }
 
 void slot_queue::on(offered const& it, core::instant now, actions& out)
@@ -96,25 +129,30 @@
         out.emplace_back(refuse{job.call, core::error_kind::leaving, {}});
         return;
     }
-    auto const takes = expected(job.route);
-    auto const wait = wait_for(job.rank, job.aim, now);
-    auto const ends = now + wait + takes;
-    bool const late = ends > job.aim;
-    auto const late_limit = static_cast<std::size_t>(
-        settings_.slots.value() * settings_.late_waiting.value() / 100);
+    queued newcomer{job, expected(job.route), !job.awaits_body};
+    auto const wait = wait_behind(precedence_of(newcomer, now), now);
     if (wait > core::duration::zero() &&
-        (ends > job.deadline || (late && late_waiting(now) >= late_limit)))
+        now + wait + newcomer.expected > job.deadline)
+    {
+        out.emplace_back(
+            refuse{job.call, core::error_kind::overloaded, room_in(now)});
+        return;
+    }
+    bool const late = wait > core::duration::zero() &&
+                      now + wait + newcomer.expected > job.aim;
+    if (late && !job.nested && waiting_.size() >= late_limit())
     {
         out.emplace_back(
             refuse{job.call, core::error_kind::overloaded, room_in(now)});
         return;
     }
-    waiting_.emplace(job.call, queued{job, takes, !job.awaits_body});
+    waiting_.emplace(job.call, std::move(newcomer));
     if (job.awaits_body)
     {
         out.emplace_back(ask_for_body{job.call});
     }
     start_waiting(now, out);
+    trim_late(now, out);
 }
 
 void slot_queue::on(body_arrived const& it, core::instant now, actions& out)
@@ -182,6 +220,7 @@
     }
     drop_hopeless(now, out);
     start_waiting(now, out);
+    trim_late(now, out);
 }
 
 void slot_queue::on(leave_started const&, core::instant, actions& out)
@@ -225,15 +264,12 @@
     drop_hopeless(now, out);
     while (running_.size() < usable_slots(now))
     {
-        auto const key = [&](queued const& it) {
-            bool const late = now + it.expected > it.job.aim;
-            return std::make_tuple(it.job.rank, late, it.job.aim);
-        };
         auto best = waiting_.end();
         for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
         {
-            if (it->second.ready &&
-                (best == waiting_.end() || key(it->second) < key(best->second)))
+            if (it->second.ready && (best == waiting_.end() ||
+                                     precedence_of(it->second, now) <
+                                         precedence_of(best->second, now)))
             {
                 best = it;
             }
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -1,15 +1,17 @@
 // Decides which calls run in the slots of one worker, which wait and which
 // are refused.
 //
-// Order: rank first, since callers of a lower rank lose less. Within a rank
-// calls that can still be answered within their aim come first, those with the
-// nearest aim before others; calls that are late already take what is left.
-// A call that would end after its deadline is refused when it comes.
+// Order: calls of running requests first, since each of those holds a slot
+// elsewhere; then by rank. Within a rank calls that can still be answered
+// within their aim come first, those with the nearest aim before others; calls
+// that are late already take what is left. A call that would end after its
+// deadline, or late while others wait, is refused when it comes.
 #ifndef YUCCAFALL_ADMISSION_SLOT_QUEUE_HPP
 #define YUCCAFALL_ADMISSION_SLOT_QUEUE_HPP
 
 #include <map>
 #include <optional>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -25,6 +27,8 @@
     core::call_id call;
     core::route_name route;
     core::rank rank;
+    // Made by a worker for a request that it runs.
+    bool nested = false;
     // The final answer is due.
     core::instant deadline;
     // An answer by then is worth most.
@@ -113,7 +117,7 @@
     core::slot_count slots{1};
     // Calls that cannot be answered within their aim any more but may wait for
     // a slot, as a share of the slots.
-    core::percentage late_waiting{100};
+    core::percentage late_waiting{50};
     // No calls are sent to a worker that has rejected one for this long.
     core::milliseconds rejection_pause{15};
     // A worker's report of calls that are not ours is believed for this long.
@@ -133,8 +137,10 @@
     std::size_t waiting() const { return waiting_.size(); }
     core::slot_count slots() const { return settings_.slots; }
     core::percentage pace() const { return pace_; }
-    // Of a call in a slot, over the routes that run here.
-    core::milliseconds mean_run(core::instant now) const;
+    // Expected time until a slot is free for a call that goes before all that
+    // wait, and for one that goes after them.
+    core::milliseconds wait_first(core::instant now) const;
+    core::milliseconds wait_last(core::instant now) const;
 
 private:
     using actions = std::vector<action>;
@@ -168,11 +174,28 @@
     void drop_hopeless(core::instant now, actions& out);
     std::size_t usable_slots(core::instant now) const;
     core::duration expected(core::route_name const& route) const;
-    // Time until a call that yields to `rank` and everything ahead of it in
-    // that rank would get a slot.
-    core::duration wait_for(core::rank rank, core::instant aim,
-                            core::instant now) const;
-    std::size_t late_waiting(core::instant now) const;
+    // Ranks a call among those that wait; lower goes first.
+    struct precedence
+    {
+        bool yields_to_nested;
+        core::rank rank;
+        bool late;
+        core::instant aim;
+
+        friend bool operator<(precedence const& a, precedence const& b)
+        {
+            return std::tie(a.yields_to_nested, a.rank, a.late, a.aim) <
+                   std::tie(b.yields_to_nested, b.rank, b.late, b.aim);
+        }
+    };
+    static precedence precedence_of(queued const& it, core::instant now);
+    // Time until a slot is free for a call that yields to all with a lower
+    // precedence; to everything that waits where there is none.
+    core::duration wait_behind(std::optional<precedence> const& place,
+                               core::instant now) const;
+    std::size_t late_limit() const;
+    // Refuses late calls over the limit, the latest first.
+    void trim_late(core::instant now, actions& out);
     core::milliseconds room_in(core::instant now) const;
 
     queue_settings settings_;
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -2,14 +2,17 @@
 #include "balancing/upstream_scores.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace yuccafall::balancing {
 
 namespace {
 
-// Assumed of a worker that has not reported yet.
-constexpr core::milliseconds assumed_run{100};
+// Share of a new observation in the moving means; about the last twenty of a
+// worker and the last fifty of a route count.
+constexpr double newest_of_worker = 0.05;
+constexpr double newest_of_route = 0.02;
+// One call of a long tail does not make a worker slow.
+constexpr double longest_ratio = 4;
 
 // Estimates are multiplied by a random factor from 1 to 1 + this.
 constexpr double spread = 0.15;
@@ -19,13 +22,37 @@
 constexpr core::percentage rejecting_much{15};
 constexpr core::milliseconds rejection_cost{400};
 
+core::duration from_ms(double it)
+{
+    return core::duration(static_cast<core::duration::rep>(it * 1e6));
+}
+
 } // namespace
 
-void upstream_scores::sent(core::upstream_id const& to)
+void upstream_scores::sent(core::upstream_id const& to, core::instant now)
 {
     auto& it = records_[to];
     ++it.in_flight;
-    ++it.sent_since;
+    it.sent_since.push_back(now);
+}
+
+double upstream_scores::usual_run_ms(core::route_name const& route) const
+{
+    auto const found = usual_run_.find(route);
+    return found == usual_run_.end() ? static_cast<double>(assumed_run.count())
+                                     : found->second;
+}
+
+void upstream_scores::ran(core::upstream_id const& at,
+                          core::route_name const& route,
+                          core::milliseconds took)
+{
+    auto const ms = static_cast<double>(took.count());
+    auto& usual = usual_run_.try_emplace(route, ms).first->second;
+    usual += newest_of_route * (ms - usual);
+    auto& slowness = records_[at].slowness;
+    auto const ratio = std::min(ms / std::max(usual, 1.0), longest_ratio);
+    slowness += newest_of_worker * (ratio - slowness);
 }
 
 void upstream_scores::ended(core::upstream_id const& to, outcome how,
@@ -38,7 +65,10 @@
     }
     auto& it = found->second;
     it.in_flight -= it.in_flight > 0 ? 1 : 0;
-    it.sent_since = std::min(it.sent_since, it.in_flight);
+    while (it.sent_since.size() > it.in_flight)
+    {
+        it.sent_since.pop_front();
+    }
     switch (how)
     {
     case outcome::answered:
@@ -71,7 +101,11 @@
     it.load = load;
     it.reported_at = now;
     it.has_report = true;
-    it.sent_since = 0;
+    while (!it.sent_since.empty() &&
+           it.sent_since.front() + settings_.report_delay < now)
+    {
+        it.sent_since.pop_front();
+    }
 }
 
 void upstream_scores::keep_only(std::set<core::upstream_id> const& listed)
@@ -102,36 +136,27 @@
                settings_.crossing_per_kb *
                    static_cast<long>(what.body.value() / 1024);
     }
+    auto const run = usual_run_ms(what.route);
     auto const found = records_.find(it.id);
     if (found == records_.end())
     {
-        return out + assumed_run;
+        return out + from_ms(run);
     }
     auto const& known = found->second;
-    auto const slots = std::max(it.slots.value(), 1U);
-    core::duration const run =
-        known.has_report && known.load.mean_run.count() > 0
-            ? known.load.mean_run * static_cast<long>(known.load.pace.value()) /
-                  100
-            : assumed_run;
-    double busy = known.in_flight;
-    if (known.has_report)
+    auto const& load = known.load;
+    double const slots = std::max(it.slots.value(), 1U);
+    double const unseen = static_cast<double>(known.sent_since.size());
+    double const run_here = run * known.slowness * load.pace.value() / 100.0;
+    double const busy = load.running.value() + load.waiting.value() + unseen;
+    if (busy >= slots)
     {
-        auto const age = static_cast<double>((now - known.reported_at).count());
-        auto const fade =
-            static_cast<double>(core::duration(settings_.report_fades).count());
-        double const reported =
-            known.load.running.value() + known.load.waiting.value();
-        busy =
-            std::max(busy, reported * std::exp(-age / fade) + known.sent_since);
+        auto const reported = what.nested ? load.wait_first : load.wait_last;
+        auto const left = reported - (now - known.reported_at);
+        out += std::max<core::duration>(left, core::duration::zero());
+        out += from_ms(run_here * (unseen + 0.5) / slots);
     }
-    double const ahead = std::max(0.0, busy + 1 - slots) / slots;
-    // A worker with many busy slots is likely to be full when the call
-    // arrives.
-    double const nearly_full = 0.25 * std::min(1.0, busy / slots);
-    out += core::duration(static_cast<core::duration::rep>(
-        static_cast<double>(run.count()) * (1 + ahead + nearly_full)));
-    if (known.load.rejecting > rejecting_much)
+    out += from_ms(run_here);
+    if (load.rejecting > rejecting_much)
     {
         out += rejection_cost;
     }
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -1,12 +1,13 @@
 // Chooses the upstream of a call among the workers of a service.
 //
-// What a node knows of a worker is the last report of the node beside it and
-// what it has sent there since. The choice is the worker with the earliest
-// expected answer; a random factor keeps nodes that share stale reports from
-// all choosing the same one.
+// What a node knows of a worker is the last report of the node beside it, what
+// it has sent there since, and how long calls have run there. The choice is the
+// worker with the earliest expected answer; a random factor keeps nodes that
+// share stale reports from all choosing the same one.
 #ifndef YUCCAFALL_BALANCING_UPSTREAM_SCORES_HPP
 #define YUCCAFALL_BALANCING_UPSTREAM_SCORES_HPP
 
+#include <deque>
 #include <map>
 #include <set>
 #include <variant>
@@ -28,15 +29,17 @@
     core::slot_count slots{1};
 };
 
-// Sent by the node beside a worker with each answer.
+// Sent by the node beside a worker with each answer, and when its load changes.
 struct load_report
 {
     core::slot_count running;
     core::queue_length waiting;
     core::slot_count slots;
-    // Mean time of a call in a slot.
-    core::milliseconds mean_run{0};
-    // Current speed of the worker; 100 is as usual.
+    // Expected time until a slot is free for a call that goes before all others
+    // and for one that goes after them.
+    core::milliseconds wait_first{0};
+    core::milliseconds wait_last{0};
+    // How long work takes now; 100 is as usual.
     core::percentage pace{100};
     // Share of the calls sent to the worker that it turned away lately.
     core::percentage rejecting;
@@ -64,8 +67,8 @@
     core::milliseconds crossing{25};
     // The same for each kilobyte of the request's body.
     core::milliseconds crossing_per_kb{1};
-    // A report says nothing any more after some times this long.
-    core::milliseconds report_fades{400};
+    // Calls sent less than this before a report are not counted in it yet.
+    core::milliseconds report_delay{12};
     // First and longest time without calls after failures in a row.
     core::milliseconds first_ejection{500};
     core::milliseconds longest_ejection{4'000};
@@ -91,9 +94,10 @@
 
 struct demand
 {
+    core::route_name route;
     core::byte_count body;
-    // Time in which an answer is of use.
-    core::milliseconds remaining{0};
+    // Goes before other calls at the worker.
+    bool nested = false;
 };
 
 // Invariant: used by one traffic thread.
@@ -109,10 +113,13 @@
                   std::set<core::upstream_id> const& tried, demand const& what,
                   core::instant now, core::random_source& random);
 
-    void sent(core::upstream_id const& to);
+    void sent(core::upstream_id const& to, core::instant now);
     void ended(core::upstream_id const& to, outcome how, core::instant now);
     void reported(core::upstream_id const& of, load_report const& it,
                   core::instant now);
+    // A call of the route held a slot there for this long.
+    void ran(core::upstream_id const& at, core::route_name const& route,
+             core::milliseconds took);
 
     // Forgets workers that are not listed any more.
     void keep_only(std::set<core::upstream_id> const& listed);
@@ -127,8 +134,10 @@
         bool has_report = false;
         // Calls of this node that have not ended.
         std::uint32_t in_flight = 0;
-        // Of those, sent after the last report.
-        std::uint32_t sent_since = 0;
+        // When calls were sent that the last report does not count.
+        std::deque<core::instant> sent_since;
+        // Time of calls here as a part of their time anywhere; 1 is average.
+        double slowness = 1;
         std::uint32_t failures = 0;
         core::milliseconds ejection{0};
         core::instant ejected_until{};
@@ -140,8 +149,15 @@
     usable(std::vector<upstream> const& among,
            std::set<core::upstream_id> const& tried, core::instant now) const;
 
+    // Assumed of a route that has not been run yet.
+    static constexpr core::milliseconds assumed_run{100};
+
+    double usual_run_ms(core::route_name const& route) const;
+
     choice_settings settings_;
     std::map<core::upstream_id, record> records_;
+    // Mean time in a slot, in milliseconds, over all upstreams.
+    std::map<core::route_name, double> usual_run_;
 };
 
 } // namespace yuccafall::balancing
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -23,13 +23,6 @@
 // over a connection of their own.
 constexpr std::size_t long_body = 8UL * 1024;
 
-// A caller without a word on its patience waits as long as its route allows.
-core::milliseconds patience_of(dialect::caller_marks const& marks,
-                               routing::route const& route)
-{
-    return std::min(marks.patience.value_or(route.timeout), route.timeout);
-}
-
 core::milliseconds whole_milliseconds(core::duration it)
 {
     return std::max(std::chrono::duration_cast<core::milliseconds>(it),
@@ -79,13 +72,17 @@
         return core::failure(error_kind::no_route, "no route matches");
     }
     service_ = in_->split_.next(*route_);
-    auto const patience = patience_of(marks, *route_);
+    nested_ = route_->timeout <= in_->settings_.nested_limit;
+    auto const patience_of_caller = marks.patience.value_or(route_->timeout);
+    auto const patience = std::min(patience_of_caller, route_->timeout);
     if (patience.count() <= 0)
     {
         return core::failure(error_kind::expired, "no time left");
     }
     deadline_ = arrived_ + patience;
-    aim_ = arrived_ + route_->aim;
+    // The aim counts from the caller's first attempt.
+    aim_ = arrived_ + route_->aim -
+           in_->patience_.waited_before(route_->name, patience_of_caller);
     auto const found = view_->upstreams.find(service_);
     if (found == view_->upstreams.end() || found->second.empty())
     {
@@ -100,8 +97,8 @@
 void call::try_next()
 {
     auto const now = core::boot_clock::now();
-    balancing::demand const what{core::byte_count(message_.body.size()),
-                                 whole_milliseconds(deadline_ - now)};
+    balancing::demand const what{
+        route_->name, core::byte_count(message_.body.size()), nested_};
     auto const found =
         in_->scores_.choose(*upstreams_, tried_, what, now, in_->random_);
     std::visit(
@@ -134,6 +131,7 @@
     it.route = route_->name;
     it.kind = route_->kind;
     it.rank = route_->rank;
+    it.nested = nested_;
     it.remaining = whole_milliseconds(deadline_ - now);
     it.aim_remaining = whole_milliseconds(aim_ - now);
     it.origin = in_->settings_.service;
@@ -147,7 +145,7 @@
         it.message.body = message_.body;
     }
     add(in_->counts_->offers);
-    in_->scores_.sent(to.id);
+    in_->scores_.sent(to.id, now);
     in_->links_->open(path_, *attempt_,
                       {[self = shared_from_this()](peers::message m) {
                            self->received(std::move(m));
@@ -180,6 +178,7 @@
 void call::on(peers::answered& it)
 {
     in_->scores_.reported(upstream_->id, it.load, core::boot_clock::now());
+    in_->scores_.ran(upstream_->id, route_->name, it.ran_for);
     leave_attempt(balancing::outcome::answered);
     answer(std::move(it.message));
 }
@@ -369,6 +368,7 @@
              {"kind", core::answer_of(kind).name},
              {"route", route_ == nullptr ? "" : route_->name.value()},
              {"upstream", upstream_ == nullptr ? "" : upstream_->id.value()},
+             {"nested", nested_},
              {"workers_reached", workers_reached_},
              {"redirects", redirects_},
              {"took_ms",
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -61,6 +61,8 @@
     boost::asio::steady_timer timer_;
 
     core::request_id request_;
+    // Taken to be made by a worker for a request that it runs.
+    bool nested_ = false;
     routing::route const* route_ = nullptr;
     core::service_name service_;
     std::vector<balancing::upstream> const* upstreams_ = nullptr;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -59,6 +59,14 @@
         return tl::unexpected(opened.error());
     }
     server_ = std::move(*opened);
+    links_->on_load(
+        [weak = weak_from_this()](core::upstream_id const& of,
+                                  balancing::load_report const& load) {
+            if (auto const self = weak.lock())
+            {
+                self->scores_.reported(of, load, core::boot_clock::now());
+            }
+        });
     return {};
 }
 
@@ -81,6 +89,7 @@
         return;
     }
     split_.renew();
+    patience_.renew();
     auto const& limits = view_->routes->source().limits;
     auto terms = server_->terms();
     terms.sizes = {limits.head, limits.body};
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -12,6 +12,7 @@
 #include "core/random.hpp"
 #include "dialect/dialect.hpp"
 #include "http/server.hpp"
+#include "ingress/caller_patience.hpp"
 #include "ingress/counters.hpp"
 #include "ingress/traffic_view.hpp"
 #include "peers/peer_links.hpp"
@@ -27,6 +28,9 @@
     core::data_centre data_centre;
     core::endpoint callers;
     retries::budget_settings budget;
+    // Routes with a time limit up to this are taken to serve requests that
+    // workers run: nothing else tells a worker's calls from those of callers.
+    core::milliseconds nested_limit{700};
     std::uint64_t seed = 0;
 };
 
@@ -71,6 +75,7 @@
     balancing::upstream_scores scores_;
     retries::retry_budget budget_;
     routing::traffic_split split_;
+    caller_patience patience_;
     core::random_source random_;
     core::incarnation const incarnation_;
     std::uint64_t last_call_ = 0;
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -25,6 +25,7 @@
     failed = 7,
     ping = 8,
     pong = 9,
+    load_changed = 10,
 };
 
 constexpr std::uint64_t longest_ms = 24UL * 3600 * 1000;
@@ -61,11 +62,12 @@
 
 void put(frame_writer& to, balancing::load_report const& it)
 {
-    to.array(6);
+    to.array(7);
     to.number(it.running.value());
     to.number(it.waiting.value());
     to.number(it.slots.value());
-    put(to, it.mean_run);
+    put(to, it.wait_first);
+    put(to, it.wait_last);
     to.number(it.pace.value());
     to.number(it.rejecting.value());
 }
@@ -111,7 +113,8 @@
     out.running = take_small<core::slot_count>(it);
     out.waiting = take_small<core::queue_length>(it);
     out.slots = take_small<core::slot_count>(it);
-    out.mean_run = take_ms(it);
+    out.wait_first = take_ms(it);
+    out.wait_last = take_ms(it);
     out.pace = take_small<core::percentage>(it);
     out.rejecting = take_small<core::percentage>(it);
     it.end();
@@ -131,13 +134,14 @@
 
 void write(frame_writer& to, offer const& it)
 {
-    head(to, wire_kind::offer, 15);
+    head(to, wire_kind::offer, 16);
     put(to, it.call);
     to.text(it.upstream.value());
     to.text(it.request.value());
     to.text(it.route.value());
     to.number(static_cast<std::uint8_t>(it.kind));
     to.number(it.rank.value());
+    to.flag(it.nested);
     put(to, it.remaining);
     put(to, it.aim_remaining);
     to.text(it.origin.value());
@@ -180,11 +184,12 @@
 
 void write(frame_writer& to, answered const& it)
 {
-    head(to, wire_kind::answered, 5);
+    head(to, wire_kind::answered, 6);
     put(to, it.call);
     to.number(static_cast<std::uint64_t>(it.message.status));
     put(to, it.message.headers);
     to.text(it.message.body);
+    put(to, it.ran_for);
     put(to, it.load);
 }
 
@@ -197,6 +202,13 @@
     put(to, it.load);
 }
 
+void write(frame_writer& to, load_changed const& it)
+{
+    head(to, wire_kind::load_changed, 2);
+    to.text(it.upstream.value());
+    put(to, it.load);
+}
+
 void write(frame_writer& to, ping const&)
 {
     head(to, wire_kind::ping, 0);
@@ -217,6 +229,7 @@
     it.kind =
         static_cast<routing::repeatability>(from.number(last_kind_of_route));
     it.rank = take_small<core::rank>(from);
+    it.nested = from.flag();
     it.remaining = take_ms(from);
     it.aim_remaining = take_ms(from);
     it.origin = core::service_name(from.text());
@@ -247,6 +260,7 @@
     it.message.status = static_cast<int>(from.number(999));
     it.message.headers = take_headers(from);
     it.message.body = from.text();
+    it.ran_for = take_ms(from);
     it.load = take_load(from);
     return it;
 }
@@ -283,6 +297,12 @@
         return read_answered(from);
     case wire_kind::failed:
         return read_failed(from);
+    case wire_kind::load_changed: {
+        load_changed it;
+        it.upstream = core::upstream_id(from.text());
+        it.load = take_load(from);
+        return it;
+    }
     case wire_kind::ping:
         return ping{};
     case wire_kind::pong:
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -25,6 +25,8 @@
     core::route_name route;
     routing::repeatability kind = routing::repeatability::non_idempotent;
     core::rank rank;
+    // Made by a worker for a request that it runs.
+    bool nested = false;
     // Counted from the sending; the receiver's clock may differ.
     core::milliseconds remaining{0};
     // Zero where the aim cannot be met any more.
@@ -72,6 +74,8 @@
 {
     core::call_id call;
     http::response message;
+    // How long the call held its slot.
+    core::milliseconds ran_for{0};
     balancing::load_report load;
 };
 
@@ -84,6 +88,13 @@
     balancing::load_report load;
 };
 
+// Sent to nodes that have offered calls lately, when the load changes.
+struct load_changed
+{
+    core::upstream_id upstream;
+    balancing::load_report load;
+};
+
 // Asks the other side to show that the connection still works.
 struct ping
 {};
@@ -91,7 +102,7 @@
 {};
 
 using message = std::variant<offer, body_wanted, body, cancel, refused,
-                             answered, failed, ping, pong>;
+                             answered, failed, load_changed, ping, pong>;
 
 } // namespace yuccafall::peers
 
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -19,7 +19,8 @@
 core::call_id call_of(message const& it)
 {
     return std::visit(
-        core::overloaded{[](ping const&) { return core::call_id{}; },
+        core::overloaded{[](load_changed const&) { return core::call_id{}; },
+                         [](ping const&) { return core::call_id{}; },
                          [](pong const&) { return core::call_id{}; },
                          [](auto const& m) { return m.call; }},
         it);
@@ -30,9 +31,10 @@
 class peer_links::link : public std::enable_shared_from_this<link>
 {
 public:
-    link(asio::io_context& context, route_to_node to, link_settings settings)
+    link(asio::io_context& context, route_to_node to, link_settings settings,
+         load_handler load)
         : context_(context), timer_(context), to_(std::move(to)),
-          settings_(settings)
+          settings_(settings), load_(std::move(load))
     {}
 
     void connect()
@@ -147,6 +149,14 @@
             connection_->send(encode(pong{}));
             return;
         }
+        if (auto const* load = std::get_if<load_changed>(&*it))
+        {
+            if (load_)
+            {
+                load_(load->upstream, load->load);
+            }
+            return;
+        }
         auto const found = calls_.find(call_of(*it));
         if (found != calls_.end())
         {
@@ -216,6 +226,7 @@
     asio::steady_timer timer_;
     route_to_node to_;
     link_settings settings_;
+    load_handler load_;
     // Null until connected.
     std::shared_ptr<transport::frame_connection> connection_;
     std::map<core::call_id, entry> calls_;
@@ -252,7 +263,7 @@
     auto& it = links_[to];
     if (!it || it->is_broken())
     {
-        it = std::make_shared<link>(context_, to, settings_);
+        it = std::make_shared<link>(context_, to, settings_, load_);
         it->connect();
     }
     it->open(call, std::move(handlers));
@@ -275,6 +286,14 @@
             {
                 return;
             }
+            if (auto const* load = std::get_if<load_changed>(&m))
+            {
+                if ((*pointer)->load_)
+                {
+                    (*pointer)->load_(load->upstream, load->load);
+                }
+                return;
+            }
             auto& calls = (*pointer)->local_calls_;
             auto const found = calls.find(call_of(m));
             if (found != calls.end())
--- a/src/peers/peer_links.hpp
+++ b/src/peers/peer_links.hpp
@@ -70,6 +70,8 @@
 public:
     // Calls to the node's own worker go to `local` without a connection.
     using local_owner = std::function<void(message, reply_function)>;
+    using load_handler = std::function<void(core::upstream_id const&,
+                                            balancing::load_report const&)>;
 
     peer_links(boost::asio::io_context& context, core::endpoint self,
                local_owner local, link_settings settings = {});
@@ -82,6 +84,9 @@
     void send(route_to_node const& to, message const& it);
     void close(route_to_node const& to, core::call_id const& call);
 
+    // Loads that nodes tell without being asked.
+    void on_load(load_handler handler) { load_ = std::move(handler); }
+
     std::size_t connections() const { return links_.size(); }
 
 private:
@@ -90,6 +95,7 @@
     boost::asio::io_context& context_;
     core::endpoint self_;
     local_owner local_;
+    load_handler load_;
     link_settings settings_;
     std::map<route_to_node, std::shared_ptr<link>> links_;
     std::map<core::call_id, call_handlers> local_calls_;
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -22,6 +22,13 @@
 // No calls are tried at a worker that refused a connection for this long.
 constexpr core::milliseconds unreachable_pause{250};
 
+// Nodes hear of a worker's load at most this often, and for this long after
+// their last call.
+constexpr core::milliseconds tell_gap{50};
+constexpr core::milliseconds listens_for{3'000};
+// A worker with more free slots than this is not nearly full.
+constexpr std::uint32_t spare_slots = 2;
+
 // Weight of a new observation in the share of rejected calls.
 constexpr double newest = 0.08;
 
@@ -36,7 +43,7 @@
              dialect::functions dialect)
     : context_(context), timer_(context), dialect_(dialect),
       leg_(std::make_shared<worker_leg>(context, std::move(worker), dialect)),
-      queue_({})
+      queue_({}), tell_timer_(context)
 {}
 
 void owner::handle(session_id from, peers::message message,
@@ -56,8 +63,12 @@
 {
     ++counts_.offers;
     auto const now = core::boot_clock::now();
+    listeners_[from] = {reply, it.upstream, now};
     key const id{core::incarnation(0), ++next_key_};
-    entry call{from, std::move(it), std::move(reply), {}, {}, false};
+    entry call;
+    call.session = from;
+    call.offer = std::move(it);
+    call.reply = std::move(reply);
     call.deadline = now + call.offer.remaining;
     auto const listed = workers_.find(call.offer.upstream);
     if (listed != workers_.end() && listed->second.draining)
@@ -74,6 +85,7 @@
     job.call = id;
     job.route = call.offer.route;
     job.rank = call.offer.rank;
+    job.nested = call.offer.nested;
     job.deadline = call.deadline;
     job.aim = now + call.offer.aim_remaining;
     job.awaits_body = call.offer.body_follows;
@@ -126,6 +138,7 @@
 
 void owner::session_lost(session_id gone)
 {
+    listeners_.erase(gone);
     std::vector<key> ids;
     for (auto const& [name, id] : keys_)
     {
@@ -181,6 +194,7 @@
 void owner::close()
 {
     timer_.cancel();
+    tell_timer_.cancel();
     leg_->close();
 }
 
@@ -192,6 +206,53 @@
         act(a);
     }
     watch_time();
+    tell_load();
+}
+
+// While slots are free everywhere the exact load changes no choice, and nothing
+// is told.
+void owner::tell_load()
+{
+    auto const now = core::boot_clock::now();
+    auto const it = load();
+    auto const used = [](balancing::load_report const& l) {
+        return l.running.value() + l.waiting.value();
+    };
+    auto const nearly_full = [&](balancing::load_report const& l) {
+        return used(l) + spare_slots >= l.slots.value();
+    };
+    if (telling_ || used(it) == used(told_) ||
+        (!nearly_full(it) && !nearly_full(told_)))
+    {
+        return;
+    }
+    if (now - told_at_ < tell_gap)
+    {
+        telling_ = true;
+        tell_timer_.expires_after(tell_gap - (now - told_at_));
+        tell_timer_.async_wait(
+            [weak = weak_from_this()](boost::system::error_code const& ec) {
+                if (auto const self = weak.lock(); self && !ec)
+                {
+                    self->telling_ = false;
+                    self->tell_load();
+                }
+            });
+        return;
+    }
+    told_ = it;
+    told_at_ = now;
+    for (auto to = listeners_.begin(); to != listeners_.end();)
+    {
+        if (now - to->second.last_offer > listens_for)
+        {
+            to = listeners_.erase(to);
+            continue;
+        }
+        to->second.tell(
+            peers::load_changed{to->second.upstream, it});
+        ++to;
+    }
 }
 
 void owner::act(admission::action const& it)
@@ -244,6 +305,7 @@
 {
     ++counts_.runs;
     auto const now = core::boot_clock::now();
+    it.started = now;
     auto const remaining =
         std::max(whole_milliseconds(it.deadline - now), core::milliseconds(1));
     auto message = std::move(it.offer.message);
@@ -298,7 +360,10 @@
 
 void owner::settle(entry& it, worker_answered& how)
 {
-    it.reply(peers::answered{it.offer.call, std::move(how.message), load()});
+    auto const ran_for =
+        whole_milliseconds(core::boot_clock::now() - it.started);
+    it.reply(peers::answered{it.offer.call, std::move(how.message), ran_for,
+                             load()});
 }
 
 void owner::settle(entry& it, worker_refused& how)
@@ -352,7 +417,9 @@
     it.waiting =
         core::queue_length(static_cast<std::uint32_t>(queue_.waiting()));
     it.slots = queue_.slots();
-    it.mean_run = queue_.mean_run(core::boot_clock::now());
+    auto const now = core::boot_clock::now();
+    it.wait_first = queue_.wait_first(now);
+    it.wait_last = queue_.wait_last(now);
     it.pace = queue_.pace();
     it.rejecting =
         core::percentage(static_cast<std::uint32_t>(rejecting_ * 100));
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -71,6 +71,7 @@
         reply_function reply;
         core::instant deadline;
         std::optional<worker_run> run;
+        core::instant started{};
         bool canceled = false;
     };
     // Two sessions may use the same number only by mistake; each offer gets
@@ -98,6 +99,7 @@
                 core::milliseconds retry_after, bool reached_worker);
     void cancel(key const& id, entry& it);
     void observe_rejection(bool rejected);
+    void tell_load();
 
     boost::asio::io_context& context_;
     boost::asio::steady_timer timer_;
@@ -109,6 +111,19 @@
     std::map<key, entry> calls_;
     std::map<std::pair<session_id, core::call_id>, key> keys_;
     std::uint64_t next_key_ = 0;
+    // Those that have offered calls lately.
+    struct listener
+    {
+        reply_function tell;
+        core::upstream_id upstream;
+        core::instant last_offer;
+    };
+    std::map<session_id, listener> listeners_;
+    // What the listeners were told last.
+    balancing::load_report told_;
+    core::instant told_at_{};
+    boost::asio::steady_timer tell_timer_;
+    bool telling_ = false;
     // Moving share of calls that the worker turned away, 0 to 1.
     double rejecting_ = 0;
     core::instant unreachable_until_{};
