Tests: Cover the new slices; Admission: Count calls of equal precedence as ahead

Cause: the test of an overloaded worker failed: calls with the same aim were not counted as ahead of each other, so all 50 of a burst were taken. Change: a newcomer waits behind all that do not yield to it.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -71,7 +71,7 @@
     std::size_t ahead = 0;
     for (auto const& [call, it] : waiting_)
     {
-        if (!place || precedence_of(it, now) < *place)
+        if (!place || !(*place < precedence_of(it, now)))
         {
             work += it.expected;
             ++ahead;
--- /dev/null
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -0,0 +1,298 @@
+// Tests of who waits, who runs and who is refused at one worker.
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "admission/slot_queue.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::admission;
+using core::milliseconds;
+
+namespace {
+
+core::instant at(long ms)
+{
+    return core::instant(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+core::call_id call(std::uint64_t n)
+{
+    return {core::incarnation(1), n};
+}
+
+struct job_terms
+{
+    std::uint32_t rank = 1;
+    long aim = 500;
+    long deadline = 2'000;
+    bool nested = false;
+    bool awaits_body = false;
+    char const* route = "r";
+};
+
+// Offers at `now` a call whose aim and deadline count from then.
+job make_job(std::uint64_t n, long now, job_terms const& terms = {})
+{
+    job it;
+    it.call = call(n);
+    it.route = core::route_name(terms.route);
+    it.rank = core::rank(terms.rank);
+    it.nested = terms.nested;
+    it.aim = at(now + terms.aim);
+    it.deadline = at(now + terms.deadline);
+    it.awaits_body = terms.awaits_body;
+    return it;
+}
+
+class fixture
+{
+public:
+    explicit fixture(std::uint32_t slots)
+    {
+        queue_settings settings;
+        settings.slots = core::slot_count(slots);
+        queue.emplace(settings);
+    }
+
+    std::vector<action> offer(std::uint64_t n, long now,
+                              job_terms const& terms = {})
+    {
+        return queue->handle(offered{make_job(n, now, terms)}, at(now));
+    }
+
+    std::vector<action> end(std::uint64_t n, long now)
+    {
+        return queue->handle(run_ended{call(n), run_end::completed}, at(now));
+    }
+
+    std::optional<slot_queue> queue;
+};
+
+std::vector<std::uint64_t> started(std::vector<action> const& actions)
+{
+    std::vector<std::uint64_t> out;
+    for (auto const& it : actions)
+    {
+        if (auto const* s = std::get_if<start>(&it))
+        {
+            out.push_back(s->call.sequence);
+        }
+    }
+    return out;
+}
+
+std::vector<refuse> refusals(std::vector<action> const& actions)
+{
+    std::vector<refuse> out;
+    for (auto const& it : actions)
+    {
+        if (auto const* r = std::get_if<refuse>(&it))
+        {
+            out.push_back(*r);
+        }
+    }
+    return out;
+}
+
+using numbers = std::vector<std::uint64_t>;
+
+} // namespace
+
+TEST_CASE("a call with a free slot starts at once")
+{
+    fixture f(2);
+    REQUIRE(started(f.offer(1, 0)) == numbers{1});
+    REQUIRE(started(f.offer(2, 0)) == numbers{2});
+    REQUIRE(started(f.offer(3, 0)).empty());
+    REQUIRE(started(f.end(1, 50)) == numbers{3});
+}
+
+// Pattern "callers hold slots while their calls wait": a new request that goes
+// before the call of a running one leaves the running one's slot idle.
+TEST_CASE("calls of running requests go before new requests")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    f.offer(2, 1, {1, 600});
+    f.offer(3, 2, {1, 150, 400, true});
+    REQUIRE(started(f.end(1, 60)) == numbers{3});
+}
+
+// Pattern "late call of a running request": its parent may still be in time.
+TEST_CASE("a call of a running request is not refused for being late")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    // The slot is free at 100 at the earliest, after the aim of 20.
+    auto const it = f.offer(2, 1, {1, 20, 400, true});
+    REQUIRE(refusals(it).empty());
+    REQUIRE(started(f.end(1, 100)) == numbers{2});
+}
+
+TEST_CASE("the more urgent rank goes first")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    f.offer(2, 1, {2, 400});
+    f.offer(3, 2, {1, 600});
+    REQUIRE(started(f.end(1, 50)) == numbers{3});
+}
+
+// Pattern "crest longer than the aim": with late calls first in line every
+// further call becomes late as well.
+TEST_CASE("a late call yields to one that can be answered in time")
+{
+    fixture f(2);
+    f.offer(1, 0);
+    f.offer(2, 0);
+    f.offer(3, 0, {1, 260});
+    f.offer(4, 200, {1, 500});
+    // At 210 call 3, due at 260, would take until 310.
+    REQUIRE(started(f.end(1, 210)) == numbers{4});
+    REQUIRE(started(f.end(2, 211)) == numbers{3});
+}
+
+// Pattern "overload": what cannot be served in time is told so at once.
+TEST_CASE("a call that would be late behind others is refused at once")
+{
+    fixture f(2);
+    std::uint64_t n = 0;
+    std::vector<refuse> refused;
+    while (refused.empty() && n < 50)
+    {
+        refused = refusals(f.offer(++n, 0, {1, 300}));
+    }
+    // Two run, and each 100 ms frees two slots until the aim.
+    REQUIRE(n >= 5);
+    REQUIRE(n <= 7);
+    REQUIRE(refused.front().kind == core::error_kind::overloaded);
+    REQUIRE(refused.front().retry_after.count() > 0);
+}
+
+TEST_CASE("a call that cannot end before its deadline is refused at once")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    auto const it = refusals(f.offer(2, 0, {1, 100, 150}));
+    REQUIRE(it.size() == 1);
+    REQUIRE(it.front().call == call(2));
+}
+
+// Guards against work that is cut off at its deadline and helps nobody.
+TEST_CASE("a call that has waited too long for its work is refused")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    f.offer(2, 0, {1, 250, 400});
+    auto const due = f.queue->next_wake();
+    REQUIRE(due);
+    REQUIRE(*due <= at(400));
+    auto const it = refusals(f.queue->handle(time_passed{}, at(360)));
+    REQUIRE(it.size() == 1);
+    REQUIRE(it.front().kind == core::error_kind::expired);
+    REQUIRE(started(f.end(1, 361)).empty());
+}
+
+// Guards against a slot that is held for a body which is still on its way.
+TEST_CASE("a call whose body is awaited does not take a slot")
+{
+    fixture f(1);
+    job_terms upload;
+    upload.awaits_body = true;
+    auto const it = f.offer(1, 0, upload);
+    REQUIRE(std::holds_alternative<ask_for_body>(it.front()));
+    REQUIRE(started(f.offer(2, 1)) == numbers{2});
+    f.end(2, 20);
+    REQUIRE(started(f.queue->handle(body_arrived{call(1)}, at(30))) ==
+            numbers{1});
+}
+
+// Guards against a restarted node that fills a worker which still runs what the
+// former process sent.
+TEST_CASE("runs that are not ours hold slots while the report is fresh")
+{
+    fixture f(2);
+    worker_load load;
+    load.running = core::slot_count(3);
+    load.slots = core::slot_count(2);
+    f.queue->handle(load_reported{load}, at(0));
+    REQUIRE(started(f.offer(1, 10)).empty());
+    REQUIRE(f.queue->next_wake());
+    REQUIRE(started(f.queue->handle(time_passed{}, at(500))) == numbers{1});
+    REQUIRE(f.queue->running() == 1);
+}
+
+TEST_CASE("a worker that has rejected a call is left alone for a moment")
+{
+    fixture f(2);
+    f.queue->handle(worker_rejected{}, at(0));
+    REQUIRE(started(f.offer(1, 1)).empty());
+    REQUIRE(started(f.queue->handle(time_passed{}, at(20))) == numbers{1});
+    REQUIRE_FALSE(f.queue->next_wake());
+}
+
+// Guards against calls that reach a worker after the bound on its leaving.
+TEST_CASE("what waits for a worker that leaves is refused")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    f.offer(2, 0);
+    auto const it = refusals(f.queue->handle(leave_started{}, at(10)));
+    REQUIRE(it.size() == 1);
+    REQUIRE(it.front().kind == core::error_kind::leaving);
+    REQUIRE(refusals(f.offer(3, 20)).size() == 1);
+    f.queue->handle(leave_ended{}, at(30));
+    REQUIRE(refusals(f.offer(4, 40)).empty());
+}
+
+TEST_CASE("any order of events keeps to the slots and starts a call once")
+{
+    rc::prop("events", [](std::vector<std::uint8_t> const& script) {
+        fixture f(3);
+        long now = 0;
+        std::uint64_t next = 0;
+        std::set<std::uint64_t> running;
+        std::set<std::uint64_t> seen;
+        auto const check = [&](std::vector<action> const& actions) {
+            for (auto const n : started(actions))
+            {
+                RC_ASSERT(seen.insert(n).second);
+                running.insert(n);
+            }
+            for (auto const& it : refusals(actions))
+            {
+                RC_ASSERT(seen.insert(it.call.sequence).second);
+            }
+            RC_ASSERT(running.size() <= 3U);
+        };
+        for (auto const step : script)
+        {
+            now += step % 40;
+            switch (step % 5)
+            {
+            case 0:
+            case 1:
+                check(f.offer(
+                    ++next, now,
+                    {step % 3U, 100 + step, 300 + step, step % 7 == 0}));
+                break;
+            case 2:
+                if (!running.empty())
+                {
+                    auto const n = *running.begin();
+                    running.erase(n);
+                    check(f.end(n, now));
+                }
+                break;
+            case 3:
+                check(f.queue->handle(time_passed{}, at(now)));
+                break;
+            default:
+                check(f.queue->handle(worker_rejected{}, at(now)));
+                break;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -0,0 +1,214 @@
+// Tests of the choice among upstreams.
+#include <catch2/catch.hpp>
+
+#include "balancing/upstream_scores.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::balancing;
+using core::milliseconds;
+
+namespace {
+
+core::instant at(long ms)
+{
+    return core::instant(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+upstream make_upstream(char const* id, char const* data_centre = "a")
+{
+    upstream it;
+    it.id = core::upstream_id(id);
+    it.node = {core::ip_address("127.0.0.1"), core::port_number(1)};
+    it.data_centre = core::data_centre(data_centre);
+    it.slots = core::slot_count(6);
+    return it;
+}
+
+load_report full(long wait_ms)
+{
+    load_report it;
+    it.running = core::slot_count(6);
+    it.waiting = core::queue_length(4);
+    it.slots = core::slot_count(6);
+    it.wait_first = milliseconds(wait_ms / 4);
+    it.wait_last = milliseconds(wait_ms);
+    return it;
+}
+
+class fixture
+{
+public:
+    fixture()
+    {
+        choice_settings settings;
+        settings.own = core::data_centre("a");
+        scores.emplace(settings);
+    }
+
+    // How many of 200 calls each of the upstreams gets.
+    std::map<std::string, int> spread(std::vector<upstream> const& among,
+                                      long now, demand const& what = {})
+    {
+        std::map<std::string, int> out;
+        for (int i = 0; i < 200; ++i)
+        {
+            auto const it = scores->choose(among, {}, what, at(now), random);
+            ++out[std::get<chosen>(it).to->id.value()];
+        }
+        return out;
+    }
+
+    void run(char const* id, char const* route, long ms, int times)
+    {
+        for (int i = 0; i < times; ++i)
+        {
+            scores->ran(core::upstream_id(id), core::route_name(route),
+                        milliseconds(ms));
+        }
+    }
+
+    std::optional<upstream_scores> scores;
+    core::random_source random{7};
+};
+
+} // namespace
+
+TEST_CASE("equal upstreams share the calls")
+{
+    fixture f;
+    auto const got = f.spread({make_upstream("x"), make_upstream("y")}, 0);
+    REQUIRE(got.at("x") > 60);
+    REQUIRE(got.at("y") > 60);
+}
+
+// Pattern "mixed routes": a worker that happens to get short calls is not a
+// fast one.
+TEST_CASE("a worker's slowness does not depend on the routes it ran")
+{
+    fixture f;
+    f.run("x", "short", 30, 100);
+    f.run("y", "short", 30, 20);
+    f.run("y", "long", 300, 100);
+    demand what;
+    what.route = core::route_name("long");
+    auto const got =
+        f.spread({make_upstream("x"), make_upstream("y")}, 0, what);
+    REQUIRE(got.at("x") > 40);
+    REQUIRE(got.at("y") > 40);
+}
+
+// Pattern "workers of different speed".
+TEST_CASE("the faster of two idle workers is preferred")
+{
+    fixture f;
+    for (int i = 0; i < 100; ++i)
+    {
+        f.run("x", "r", 100, 1);
+        f.run("y", "r", 200, 1);
+    }
+    demand what;
+    what.route = core::route_name("r");
+    auto const got =
+        f.spread({make_upstream("x"), make_upstream("y")}, 0, what);
+    REQUIRE(got.at("x") == 200);
+}
+
+TEST_CASE("a full worker is left for one with a free slot")
+{
+    fixture f;
+    f.scores->reported(core::upstream_id("x"), full(300), at(0));
+    auto const among = std::vector{make_upstream("x"), make_upstream("y", "b")};
+    REQUIRE(f.spread(among, 5).at("y") == 200);
+}
+
+// Pattern "stale report": a queue that was long some time ago has drained.
+TEST_CASE("a reported wait passes with time")
+{
+    fixture f;
+    f.scores->reported(core::upstream_id("x"), full(300), at(0));
+    auto const among = std::vector{make_upstream("x"), make_upstream("y", "b")};
+    REQUIRE(f.spread(among, 400).count("x") == 1);
+}
+
+// Pattern "herd on one report": calls sent since a report count with it.
+TEST_CASE("calls that a report does not count are added to it")
+{
+    fixture f;
+    load_report empty;
+    empty.slots = core::slot_count(6);
+    f.scores->reported(core::upstream_id("x"), empty, at(0));
+    for (int i = 0; i < 7; ++i)
+    {
+        f.scores->sent(core::upstream_id("x"), at(1));
+    }
+    auto const among = std::vector{make_upstream("x"), make_upstream("y", "b")};
+    auto const got = f.spread(among, 2);
+    REQUIRE(got.count("y") == 1);
+    REQUIRE(got.at("y") > 150);
+}
+
+TEST_CASE("the own data centre comes first among equals")
+{
+    fixture f;
+    auto const among =
+        std::vector{make_upstream("x", "b"), make_upstream("y", "a")};
+    REQUIRE(f.spread(among, 0).at("y") == 200);
+}
+
+// Pattern "grey worker": each call that it turns away costs retry budget.
+TEST_CASE("a worker that turns many calls away is left out")
+{
+    fixture f;
+    load_report grey;
+    grey.slots = core::slot_count(6);
+    grey.rejecting = core::percentage(40);
+    f.scores->reported(core::upstream_id("x"), grey, at(0));
+    auto const among = std::vector{make_upstream("x"), make_upstream("y", "b")};
+    REQUIRE(f.spread(among, 1).at("y") == 200);
+}
+
+TEST_CASE("a node that cannot be reached gets no calls for a while")
+{
+    fixture f;
+    auto const among = std::vector{make_upstream("x"), make_upstream("y", "b"),
+                                   make_upstream("z", "b")};
+    f.scores->sent(core::upstream_id("x"), at(0));
+    f.scores->ended(core::upstream_id("x"), outcome::unreachable, at(0));
+    REQUIRE(f.spread(among, 10).count("x") == 0);
+    REQUIRE(f.spread(among, 600).count("x") == 1);
+}
+
+// Guards against one bad request that takes a worker out.
+TEST_CASE("one failed run does not eject a worker")
+{
+    fixture f;
+    f.scores->ended(core::upstream_id("x"), outcome::failed, at(0));
+    REQUIRE_FALSE(f.scores->is_ejected(core::upstream_id("x"), at(1)));
+    f.scores->sent(core::upstream_id("x"), at(1));
+    f.scores->ended(core::upstream_id("x"), outcome::failed, at(1));
+    f.scores->ended(core::upstream_id("x"), outcome::failed, at(1));
+    REQUIRE(f.scores->is_ejected(core::upstream_id("x"), at(2)));
+}
+
+// Pattern "this node is cut off": where all seem dead none is left out.
+TEST_CASE("ejections of most workers at once are not believed")
+{
+    fixture f;
+    std::vector<upstream> among;
+    for (auto const* id : {"u", "v", "w", "x"})
+    {
+        among.push_back(make_upstream(id));
+        f.scores->sent(core::upstream_id(id), at(0));
+        f.scores->ended(core::upstream_id(id), outcome::unreachable, at(0));
+    }
+    auto const it = f.scores->choose(among, {}, {}, at(1), f.random);
+    REQUIRE(std::holds_alternative<chosen>(it));
+}
+
+TEST_CASE("no upstream is left once all have been tried")
+{
+    fixture f;
+    auto const it = f.scores->choose(
+        {make_upstream("x")}, {core::upstream_id("x")}, {}, at(0), f.random);
+    REQUIRE(std::holds_alternative<none_known>(it));
+}
--- /dev/null
+++ b/src/http/tests/readers_test.cpp
@@ -0,0 +1,173 @@
+// Tests of framing: which bytes are a message, and which are refused.
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "http/readers.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::http;
+using core::error_kind;
+
+namespace {
+
+core::result<progress> read_request(std::string bytes)
+{
+    request_reader it({core::byte_count(4096), core::byte_count(100)});
+    return it.take(bytes);
+}
+
+std::string head(std::string const& fields)
+{
+    return "POST /a/b HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("a request is read whole and what follows stays")
+{
+    std::string buffer = head("Content-Length: 3\r\n") + "abcGET /next";
+    request_reader it({});
+    REQUIRE(*it.take(buffer) == progress::complete);
+    REQUIRE(buffer == "GET /next");
+    auto const message = it.release();
+    REQUIRE(message.method == "POST");
+    REQUIRE(message.target == "/a/b");
+    REQUIRE(message.body == "abc");
+}
+
+TEST_CASE("a chunked request is put together")
+{
+    std::string buffer = head("Transfer-Encoding: chunked\r\n") +
+                         "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    request_reader it({});
+    REQUIRE(*it.take(buffer) == progress::complete);
+    REQUIRE(it.release().body == "abcde");
+}
+
+// Guards against two readers that disagree on where a request ends.
+TEST_CASE("ambiguous framing is refused")
+{
+    for (auto const& bytes :
+         {head("Content-Length: 3\r\nContent-Length: 4\r\n") + "abcd",
+          head("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n") + "abc",
+          head("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n") + "abc",
+          head("Content-Length: 3, 4\r\n") + "abcd",
+          head("Content-Length: -1\r\n"),
+          head("Content-Length : 3\r\n") + "abc", head("X: a\r\n b\r\n"),
+          head("X: a\nY: b\r\n"), head("Content-Length: 3\nX: y\r\n") + "abc",
+          std::string("GET / HTTP/1.1\r\n\r\n"), head("Host: other\r\n")})
+    {
+        CAPTURE(bytes);
+        auto const it = read_request(bytes);
+        REQUIRE_FALSE(it);
+        REQUIRE(it.error().kind == error_kind::bad_request);
+    }
+}
+
+TEST_CASE("what is over a limit is refused by its kind")
+{
+    REQUIRE(read_request(head("X: " + std::string(5000, 'x') + "\r\n"))
+                .error()
+                .kind == error_kind::head_too_large);
+    REQUIRE(read_request(head("Content-Length: 101\r\n")).error().kind ==
+            error_kind::body_too_large);
+}
+
+// Guards against a parser that depends on how the bytes are cut.
+TEST_CASE("a request is the same however its bytes arrive")
+{
+    rc::prop("cuts", [](std::vector<std::uint8_t> const& cuts) {
+        auto const all = head("Content-Length: 10\r\nX: y\r\n") + "0123456789";
+        request_reader it({});
+        std::string buffer;
+        std::size_t at = 0;
+        std::size_t i = 0;
+        bool complete = false;
+        while (at < all.size())
+        {
+            auto const n = cuts.empty() ? 1 : 1 + cuts[i++ % cuts.size()] % 20;
+            auto const piece = all.substr(at, n);
+            at += piece.size();
+            buffer += piece;
+            auto const step = it.take(buffer);
+            RC_ASSERT(step.has_value());
+            complete = *step == progress::complete;
+        }
+        RC_ASSERT(complete);
+        RC_ASSERT(it.release().body == "0123456789");
+    });
+}
+
+TEST_CASE("bytes of any kind end in a request, a wait or an error")
+{
+    rc::prop("bytes", [](std::string bytes) {
+        request_reader it({});
+        auto const step = it.take(bytes);
+        RC_ASSERT(!step || *step == progress::needs_more || bytes.empty() ||
+                  *step == progress::complete);
+    });
+}
+
+TEST_CASE("a response without a length ends with its connection")
+{
+    std::string buffer = "HTTP/1.1 200 OK\r\n\r\nabc";
+    response_reader it({}, false);
+    REQUIRE(*it.take(buffer) == progress::needs_more);
+    REQUIRE(*it.end() == progress::complete);
+    auto const message = it.release();
+    REQUIRE(message.body == "abc");
+    REQUIRE_FALSE(message.keep_alive);
+}
+
+// Guards against a broken answer that passes for a whole one.
+TEST_CASE("a response that breaks off is an error")
+{
+    for (auto const* text : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n3\r\nabc\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Le"})
+    {
+        CAPTURE(text);
+        std::string buffer = text;
+        response_reader it({}, false);
+        REQUIRE(*it.take(buffer) == progress::needs_more);
+        REQUIRE_FALSE(it.end());
+    }
+}
+
+TEST_CASE("interim responses are skipped")
+{
+    std::string buffer = "HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 204 No Content\r\n\r\nHTTP";
+    response_reader it({}, false);
+    REQUIRE(*it.take(buffer) == progress::complete);
+    REQUIRE(it.release().status == 204);
+    REQUIRE(buffer == "HTTP");
+}
+
+TEST_CASE("fields of one connection are not forwarded")
+{
+    header_list list{
+        {"Connection", "close, X-Mine"}, {"X-Mine", "1"},
+        {"Keep-Alive", "timeout=5"},     {"Transfer-Encoding", "chunked"},
+        {"Content-Length", "3"},         {"X-Kept", "2"}};
+    strip_connection_headers(list);
+    REQUIRE(list.size() == 1);
+    REQUIRE(list.front().name == "X-Kept");
+}
+
+TEST_CASE("a message that was written is read back")
+{
+    request out;
+    out.method = "POST";
+    out.target = "/x?y=z";
+    out.headers = {{"Host", "h"}, {"A", "b"}};
+    out.body = "body";
+    auto bytes = serialize(out);
+    request_reader it({});
+    REQUIRE(*it.take(bytes) == progress::complete);
+    auto const in = it.release();
+    REQUIRE(in.target == out.target);
+    REQUIRE(in.body == out.body);
+    REQUIRE(*find_header(in.headers, "a") == "b");
+}
--- /dev/null
+++ b/src/retries/tests/retry_budget_test.cpp
@@ -0,0 +1,72 @@
+// Tests of the retry budget, as the platform counts it: over all nodes and any
+// window.
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "retries/retry_budget.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::retries;
+
+namespace {
+
+core::instant at(long ms)
+{
+    return core::instant(std::chrono::hours(1)) + core::milliseconds(ms);
+}
+
+core::service_name const service("s");
+
+} // namespace
+
+// Pattern "all calls fail": retries of the whole fleet stay within the share of
+// the requests and the slack, in each window of ten seconds.
+TEST_CASE("a fleet that retries all it can keeps to the platform's bound")
+{
+    rc::prop("rates", [](std::uint8_t node_seed, std::uint16_t rate_seed) {
+        std::size_t const nodes = 1 + node_seed % 20;
+        long const per_second = 1 + rate_seed % 100;
+        std::vector<retry_budget> fleet(nodes, retry_budget({}));
+        for (auto& it : fleet)
+        {
+            it.set_nodes(core::node_count(nodes));
+        }
+        constexpr long seconds = 30;
+        std::vector<long> retries(seconds, 0);
+        for (long ms = 0; ms < seconds * 1000; ms += 1000 / per_second)
+        {
+            for (auto& it : fleet)
+            {
+                it.requested(service, at(ms));
+                while (it.take(service, at(ms)))
+                {
+                    ++retries[static_cast<std::size_t>(ms / 1000)];
+                }
+            }
+        }
+        auto const requests =
+            static_cast<double>(nodes) *
+            static_cast<double>(1000 / (1000 / per_second) * 10);
+        for (std::size_t s = 0; s + 10 <= retries.size(); ++s)
+        {
+            long in_window = 0;
+            for (std::size_t i = s; i < s + 10; ++i)
+            {
+                in_window += retries[i];
+            }
+            // Below 20 nodes each node's least of one retry fits the slack.
+            RC_ASSERT(static_cast<double>(in_window) <=
+                      0.2 * requests + 64 + static_cast<double>(nodes));
+        }
+    });
+}
+
+TEST_CASE("a service with few requests still gets a retry")
+{
+    retry_budget it({});
+    it.set_nodes(core::node_count(5'500));
+    REQUIRE(it.take(service, at(0)));
+    REQUIRE_FALSE(it.take(service, at(1)));
+}
--- /dev/null
+++ b/src/routing/tests/route_index_test.cpp
@@ -0,0 +1,61 @@
+// Tests of route selection and traffic splits.
+#include <catch2/catch.hpp>
+
+#include "routing/route_index.hpp"
+#include "routing/traffic_split.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::routing;
+
+namespace {
+
+route make_route(char const* name, char const* host, char const* prefix)
+{
+    route it;
+    it.name = core::route_name(name);
+    it.host = host;
+    it.prefix = prefix;
+    it.targets = {{core::service_name("s"), core::weight(1)}};
+    return it;
+}
+
+std::string found(route_index const& it, char const* host, char const* target)
+{
+    auto const* r = it.find(host, target);
+    return r == nullptr ? "" : r->name.value();
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    auto all = std::make_shared<configuration>();
+    all->routes = {make_route("root", "h.example", "/"),
+                   make_route("a", "h.example", "/a/"),
+                   make_route("ab", "h.example", "/a/b/"),
+                   make_route("other", "o.example", "/a/b/c/")};
+    route_index const it(all);
+    REQUIRE(found(it, "h.example", "/a/b/c/d") == "ab");
+    REQUIRE(found(it, "H.Example:8080", "/a/x?q=/a/b/") == "a");
+    REQUIRE(found(it, "h.example", "/a") == "root");
+    REQUIRE(found(it, "h.example", "/ab/") == "root");
+    REQUIRE(found(it, "o.example", "/a/b/").empty());
+    REQUIRE(found(it, "none.example", "/a/b/").empty());
+    REQUIRE(found(it, "h.example", "*").empty());
+}
+
+// Guards against a share that drifts from its weight within few requests.
+TEST_CASE("each part of a split gets its share of any run")
+{
+    auto it = make_route("r", "h", "/");
+    it.targets = {{core::service_name("x"), core::weight(90)},
+                  {core::service_name("y"), core::weight(10)}};
+    traffic_split split;
+    std::map<core::service_name, int> got;
+    for (int i = 1; i <= 1'000; ++i)
+    {
+        ++got[split.next(it)];
+        REQUIRE(got[core::service_name("x")] >= i * 9 / 10 - 1);
+        REQUIRE(got[core::service_name("x")] <= i * 9 / 10 + 1);
+    }
+}
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -249,8 +249,7 @@
             to = listeners_.erase(to);
             continue;
         }
-        to->second.tell(
-            peers::load_changed{to->second.upstream, it});
+        to->second.tell(peers::load_changed{to->second.upstream, it});
         ++to;
     }
 }
