Membership: Let the newest entry of an address count

Change: of entries with one address only the newest names a worker; a worker that answers 421 is left out by callers for 6 s and by its node until the list changes; a node that is leaving counts as unreachable.

--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -78,6 +78,9 @@
         return;
     case outcome::abandoned:
         return;
+    case outcome::gone:
+        it.ejected_until = now + settings_.gone_ejection;
+        return;
     case outcome::unreachable:
     case outcome::failed:
         break;
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -53,6 +53,8 @@
     refused,
     // The node could not be reached, or the connection to it broke.
     unreachable,
+    // Another worker has taken the address.
+    gone,
     // The worker failed, broke off or answered nonsense.
     failed,
     // Given up for the caller's sake.
@@ -72,6 +74,8 @@
     // First and longest time without calls after failures in a row.
     core::milliseconds first_ejection{500};
     core::milliseconds longest_ejection{4'000};
+    // An entry of a worker that has ended goes after this.
+    core::milliseconds gone_ejection{6'000};
     std::uint32_t failures_to_eject = 2;
     // Workers looked at for one call; bounds the cost in large services.
     std::size_t candidates = 8;
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -23,6 +23,20 @@
 // over a connection of their own.
 constexpr std::size_t long_body = 8UL * 1024;
 
+balancing::outcome seen_by_refusal(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::no_upstream:
+    case error_kind::leaving:
+        return balancing::outcome::unreachable;
+    case error_kind::wrong_upstream:
+        return balancing::outcome::gone;
+    default:
+        return balancing::outcome::refused;
+    }
+}
+
 core::milliseconds whole_milliseconds(core::duration it)
 {
     return std::max(std::chrono::duration_cast<core::milliseconds>(it),
@@ -170,9 +184,7 @@
 {
     in_->scores_.reported(upstream_->id, it.load, core::boot_clock::now());
     attempt_ended(attempt_refused{it.kind, it.retry_after, it.reached_worker},
-                  it.kind == error_kind::no_upstream
-                      ? balancing::outcome::unreachable
-                      : balancing::outcome::refused);
+                  seen_by_refusal(it.kind));
 }
 
 void call::on(peers::answered& it)
--- a/src/membership/worker_directory.cpp
+++ b/src/membership/worker_directory.cpp
@@ -27,6 +27,7 @@
     bool const same =
         known.entry.id == it.entry.id && same_entry(known.entry, it.entry);
     known.entry = it.entry;
+    known.revision = it.revision;
     known.forget_at.reset();
     return !same;
 }
@@ -77,10 +78,17 @@
 
 std::vector<worker_entry> worker_directory::workers() const
 {
+    std::map<core::endpoint, core::revision> newest;
+    for (auto const& [id, it] : records_)
+    {
+        auto& revision = newest[it.entry.address];
+        revision = std::max(revision, it.revision);
+    }
     std::vector<worker_entry> out;
     for (auto const& [id, it] : records_)
     {
-        if (it.entry.state == worker_state::ready)
+        if (it.entry.state == worker_state::ready &&
+            it.revision == newest.at(it.entry.address))
         {
             out.push_back(it.entry);
         }
--- a/src/membership/worker_directory.hpp
+++ b/src/membership/worker_directory.hpp
@@ -31,6 +31,7 @@
 struct entry_written
 {
     worker_entry entry;
+    core::revision revision;
 };
 // The value is no entry of a worker: it names none and removes none.
 struct entry_unreadable
@@ -59,7 +60,8 @@
     // Returns true where workers() has changed.
     bool handle(directory_event const& event, core::instant now);
 
-    // Those that may get work, ordered by id.
+    // Those that may get work, ordered by id. Of several entries with one
+    // address only the newest counts: the worker of an older one has ended.
     std::vector<worker_entry> workers() const;
 
     // All that have an entry or had one until lately, draining ones included.
@@ -72,6 +74,7 @@
     struct record
     {
         worker_entry entry;
+        core::revision revision;
         // Set once the entry has been removed.
         std::optional<core::instant> forget_at;
     };
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -227,7 +227,7 @@
          {"data_centre", entry->data_centre.value()},
          {"draining", entry->state == membership::worker_state::draining},
          {"revision", it.revision.value()}});
-    tell_directory(membership::entry_written{std::move(*entry)});
+    tell_directory(membership::entry_written{std::move(*entry), it.revision});
 }
 
 void control_plane::tell_directory(membership::directory_event const& it)
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -76,6 +76,11 @@
         refuse(call, error_kind::leaving, {}, false);
         return;
     }
+    if (ended_.count(call.offer.upstream) != 0)
+    {
+        refuse(call, error_kind::wrong_upstream, {}, false);
+        return;
+    }
     if (now < unreachable_until_)
     {
         refuse(call, error_kind::no_upstream, unreachable_pause, false);
@@ -159,6 +164,7 @@
     // may not be known yet.
     bool all_drain = !workers.empty() || !workers_.empty() || gone_;
     workers_.clear();
+    ended_.clear();
     for (auto const& it : workers)
     {
         workers_.emplace(it.id, it);
@@ -368,6 +374,10 @@
 void owner::settle(entry& it, worker_refused& how)
 {
     ++counts_.rejected_by_worker;
+    if (how.marks.wrong_worker)
+    {
+        ended_.insert(it.offer.upstream);
+    }
     refuse(it,
            how.marks.wrong_worker ? error_kind::wrong_upstream
                                   : error_kind::upstream_rejected,
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -108,6 +108,8 @@
     std::shared_ptr<worker_leg> leg_;
     admission::slot_queue queue_;
     std::map<core::upstream_id, listed_worker> workers_;
+    // Workers whose address another one has taken.
+    std::set<core::upstream_id> ended_;
     std::map<key, entry> calls_;
     std::map<std::pair<session_id, core::call_id>, key> keys_;
     std::uint64_t next_key_ = 0;
