Replication: Pass on what the store publishes between nodes

Between data centres a node says what it holds and sends it when asked. A starting node asks the seeds first. Copies are brought together by the store's revisions.

--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -66,7 +66,7 @@
     core::data_centre own;
     // Added to the expected answer of a worker in another data centre: the
     // way there and back, and what the bytes cost.
-    core::milliseconds crossing{25};
+    core::milliseconds crossing{40};
     // The same for each kilobyte of the request's body.
     core::milliseconds crossing_per_kb{1};
     // Calls sent less than this before a report are not counted in it yet.
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -109,10 +109,6 @@
     bool spent_ = false;
 };
 
-// Options of every TCP connection that this process opens: no delay, and a
-// bound on how long a peer that has vanished goes unnoticed.
-void set_socket_options(boost::asio::ip::tcp::socket& socket);
-
 } // namespace yuccafall::http
 
 #endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,7 +8,7 @@
 #include <fmt/format.h>
 
 #include "core/log.hpp"
-#include "http/client_connection.hpp"
+#include "transport/socket_options.hpp"
 
 namespace yuccafall::http {
 
@@ -32,7 +32,7 @@
     : owner_(std::move(owner)), socket_(std::move(socket)),
       timer_(socket_.get_executor())
 {
-    set_socket_options(socket_);
+    transport::set_socket_options(socket_);
     owner_->connections_.insert(this);
 }
 
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "core/log.hpp"
 #include "core/overloaded.hpp"
 #include "platform/published_values.hpp"
@@ -20,6 +22,13 @@
     return (std::uint64_t{device()} << 32) | device();
 }
 
+replication::replicator_settings replicator_settings_of(settings const& it)
+{
+    replication::replicator_settings out;
+    out.own = it.data_centre;
+    return out;
+}
+
 } // namespace
 
 control_plane::control_plane(boost::asio::io_context& context,
@@ -28,23 +37,41 @@
       publish_(std::move(publish)),
       store_(std::make_shared<platform::store_client>(
           context, platform::store_settings{settings_.platform})),
-      reader_({}, random_seed())
+      replicator_(replicator_settings_of(settings_), random_seed())
 {}
 
-void control_plane::start()
+core::result<void> control_plane::start()
 {
-    feed(replication::wake{});
+    links_ = std::make_shared<control_links>(
+        context_,
+        [weak = weak_from_this()](replication::replicator_event const& it) {
+            if (auto const self = weak.lock())
+            {
+                self->feed(it);
+            }
+        });
+    if (auto listening = links_->listen(settings_.control); !listening)
+    {
+        return listening;
+    }
+    std::set<core::endpoint> seeds(settings_.seeds.begin(),
+                                   settings_.seeds.end());
+    seeds.erase(settings_.control);
+    links_->want(seeds);
+    feed(replication::started{});
+    return {};
 }
 
 void control_plane::stop()
 {
     timer_.cancel();
     store_->close();
+    links_->stop();
 }
 
 bool control_plane::is_ready() const
 {
-    return routes_ != nullptr && !state_.empty();
+    return routes_ != nullptr && !replicator_.state().empty();
 }
 
 admin::control_status control_plane::status() const
@@ -58,9 +85,12 @@
             core::boot_clock::now() - applied_at_);
     }
     it.ready = is_ready();
-    it.as_of = state_.as_of();
+    it.as_of = replicator_.state().as_of();
     it.workers = directory_.workers().size();
+    it.reads_store = replicator_.reads_store();
     it.store_reachable = store_reachable_;
+    it.confirmed_ago = replicator_.confirmed_ago(core::boot_clock::now());
+    it.peers = replicator_.links();
     it.store_calls = store_->calls();
     it.refused = refused_;
     return it;
@@ -81,9 +111,9 @@
     return out;
 }
 
-void control_plane::feed(replication::reader_event const& it)
+void control_plane::feed(replication::replicator_event const& it)
 {
-    auto const actions = reader_.handle(it, core::boot_clock::now());
+    auto const actions = replicator_.handle(it, core::boot_clock::now());
     for (auto const& a : actions)
     {
         std::visit([this](auto const& what) { act(what); }, a);
@@ -92,43 +122,45 @@
     watch_time();
 }
 
-void control_plane::act(replication::read_page const& it)
+std::function<void(replication::reader_event)> control_plane::store_handler()
 {
-    store_->read_page(it.after_key, [weak = weak_from_this()](
-                                        replication::reader_event const& e) {
-        if (auto const self = weak.lock())
+    return [weak = weak_from_this()](replication::reader_event const& it) {
+        auto const self = weak.lock();
+        if (!self)
         {
-            self->feed(e);
+            return;
         }
-    });
+        std::visit(
+            [&](auto const& e) {
+                using event = std::decay_t<decltype(e)>;
+                if constexpr (std::is_constructible_v<
+                                  replication::replicator_event, event>)
+                {
+                    self->feed(e);
+                }
+            },
+            it);
+    };
+}
+
+void control_plane::act(replication::read_page const& it)
+{
+    store_->read_page(it.after_key, store_handler());
 }
 
 void control_plane::act(replication::watch const& it)
 {
-    store_->watch(
-        it.after, it.wait,
-        [weak = weak_from_this()](replication::reader_event const& e) {
-            if (auto const self = weak.lock())
-            {
-                self->feed(e);
-            }
-        });
+    store_->watch(it.after, it.wait, store_handler());
 }
 
-void control_plane::act(replication::take_changes const& it)
+void control_plane::act(replication::send_message const& it)
 {
-    if (!std::exchange(store_reachable_, true))
-    {
-        core::log_event(core::log_level::info, "store_reached",
-                        {{"as_of", it.changes.as_of.value()},
-                         {"items", it.changes.items.size()}});
-    }
-    auto const news = state_.apply(it.changes);
-    if (!news)
-    {
-        return;
-    }
-    for (auto const& item : *news)
+    links_->send(it.link, it.content);
+}
+
+void control_plane::act(replication::take_items const& it)
+{
+    for (auto const& item : it.items)
     {
         take(item);
     }
@@ -138,14 +170,15 @@
 {
     store_reachable_ = false;
     core::log_event(core::log_level::warning, "store_lost",
-                    {{"reason", it.reason}, {"as_of", state_.as_of().value()}});
+                    {{"reason", it.reason},
+                     {"as_of", replicator_.state().as_of().value()}});
 }
 
 void control_plane::act(replication::report_regained const&)
 {
     store_reachable_ = true;
     core::log_event(core::log_level::info, "store_regained",
-                    {{"as_of", state_.as_of().value()}});
+                    {{"as_of", replicator_.state().as_of().value()}});
     tell_directory(membership::store_regained{});
 }
 
@@ -265,11 +298,38 @@
     view->nodes = core::node_count(std::max<std::size_t>(nodes.size(), 1));
     view_ = std::move(view);
     publish_(view_);
+    assign_duty();
+}
+
+void control_plane::assign_duty()
+{
+    std::vector<replication::node_place> nodes;
+    for (auto const& it : directory_.workers())
+    {
+        nodes.push_back(
+            {{it.address.address, settings_.control.port}, it.data_centre});
+    }
+    if (nodes.empty())
+    {
+        // The seeds stay until the list of workers is known.
+        return;
+    }
+    auto const it = replication::neighbours_of(
+        {settings_.control, settings_.data_centre}, nodes);
+    links_->want(it.sources);
+    // Posted: this runs within the handling of another event.
+    boost::asio::post(context_,
+                      [weak = weak_from_this(), reads = it.reads_store] {
+                          if (auto const self = weak.lock())
+                          {
+                              self->feed(replication::duty_assigned{reads});
+                          }
+                      });
 }
 
 void control_plane::watch_time()
 {
-    auto const reader = reader_.next_wake();
+    auto const reader = replicator_.next_wake();
     auto const directory = directory_.next_wake();
     if (!reader && !directory)
     {
@@ -285,7 +345,7 @@
             if (auto const self = weak.lock(); self && !ec)
             {
                 self->tell_directory(membership::time_passed{});
-                self->feed(replication::wake{});
+                self->feed(replication::clock_moved{});
             }
         });
 }
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -14,10 +14,10 @@
 #include "admin/state.hpp"
 #include "ingress/traffic_view.hpp"
 #include "membership/worker_directory.hpp"
+#include "node/control_links.hpp"
 #include "node/settings.hpp"
 #include "platform/store_client.hpp"
-#include "replication/published_state.hpp"
-#include "replication/store_reader.hpp"
+#include "replication/replicator.hpp"
 
 namespace yuccafall::node {
 
@@ -31,7 +31,7 @@
     control_plane(boost::asio::io_context& context, node::settings settings,
                   publish_function publish);
 
-    void start();
+    core::result<void> start();
     void stop();
 
     // Has a configuration and a list of workers.
@@ -45,10 +45,13 @@
     std::vector<admin::node_place> nodes() const;
 
 private:
-    void feed(replication::reader_event const& it);
+    void feed(replication::replicator_event const& it);
+    // Answers of the store are events of replication.
+    std::function<void(replication::reader_event)> store_handler();
     void act(replication::read_page const& it);
     void act(replication::watch const& it);
-    void act(replication::take_changes const& it);
+    void act(replication::send_message const& it);
+    void act(replication::take_items const& it);
     void act(replication::report_lost const& it);
     void act(replication::report_regained const&);
 
@@ -57,6 +60,7 @@
     void take_worker(core::upstream_id const& id, replication::item const& it);
     void tell_directory(membership::directory_event const& it);
     void publish();
+    void assign_duty();
     void watch_time();
 
     boost::asio::io_context& context_;
@@ -64,14 +68,14 @@
     node::settings settings_;
     publish_function publish_;
     std::shared_ptr<platform::store_client> store_;
-    replication::store_reader reader_;
-    replication::published_state state_;
+    replication::replicator replicator_;
+    std::shared_ptr<control_links> links_;
     membership::worker_directory directory_;
     std::shared_ptr<routing::route_index const> routes_;
     std::shared_ptr<ingress::traffic_view const> view_;
     // What the traffic threads were told differs from what is known now.
     bool view_is_old_ = false;
-    bool store_reachable_ = false;
+    bool store_reachable_ = true;
     std::uint64_t refused_ = 0;
     core::instant applied_at_{};
 };
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -101,7 +101,10 @@
             return tl::unexpected(operators.error());
         }
         operators_ = std::move(*operators);
-        control_->start();
+        if (auto started = control_->start(); !started)
+        {
+            return started;
+        }
         core::log_event(core::log_level::info, "node_started",
                         {{"vm", settings_.vm.value()},
                          {"service", settings_.service.value()},
--- /dev/null
+++ b/src/replication/codec.cpp
@@ -0,0 +1,143 @@
+// Each frame is an array whose first element is the kind of message.
+#include "replication/codec.hpp"
+
+#include <algorithm>
+
+#include "transport/msgpack_io.hpp"
+
+namespace yuccafall::replication {
+
+using transport::frame_elements;
+using transport::frame_writer;
+
+namespace {
+
+// Numbers on the wire; never reused for another kind.
+enum class wire_kind : std::uint8_t
+{
+    digest = 1,
+    changes = 2,
+    pull = 3,
+};
+
+constexpr std::uint64_t longest_ms = 365UL * 24 * 3600 * 1000;
+
+void put(frame_writer& to, core::milliseconds it)
+{
+    to.number(static_cast<std::uint64_t>(std::max<long>(it.count(), 0)));
+}
+
+core::milliseconds take_ms(frame_elements& from)
+{
+    return core::milliseconds(static_cast<long>(from.number(longest_ms)));
+}
+
+void write(frame_writer& to, digest const& it)
+{
+    to.array(4);
+    to.number(static_cast<std::uint8_t>(wire_kind::digest));
+    to.number(it.as_of.value());
+    put(to, it.confirmed_ago);
+    to.text(it.data_centre.value());
+}
+
+void write(frame_writer& to, changes const& it)
+{
+    to.array(5);
+    to.number(static_cast<std::uint8_t>(wire_kind::changes));
+    to.number(it.set.base.value());
+    to.number(it.set.as_of.value());
+    put(to, it.confirmed_ago);
+    to.array(it.set.items.size() * 4);
+    for (auto const& i : it.set.items)
+    {
+        to.text(i.key);
+        to.text(i.value);
+        to.number(i.revision.value());
+        to.flag(i.deleted);
+    }
+}
+
+void write(frame_writer& to, pull const& it)
+{
+    to.array(2);
+    to.number(static_cast<std::uint8_t>(wire_kind::pull));
+    to.number(it.as_of.value());
+}
+
+digest read_digest(frame_elements& from)
+{
+    digest it;
+    it.as_of = core::revision(from.number());
+    it.confirmed_ago = take_ms(from);
+    it.data_centre = core::data_centre(from.text());
+    return it;
+}
+
+changes read_changes(frame_elements& from)
+{
+    changes it;
+    it.set.base = core::revision(from.number());
+    it.set.as_of = core::revision(from.number());
+    it.confirmed_ago = take_ms(from);
+    auto items = from.array();
+    while (items.good() && items.left() >= 4)
+    {
+        item i;
+        i.key = items.text();
+        i.value = items.text();
+        i.revision = core::revision(items.number());
+        i.deleted = items.flag();
+        it.set.items.push_back(std::move(i));
+    }
+    items.end();
+    return it;
+}
+
+message read_message(frame_elements& from)
+{
+    switch (static_cast<wire_kind>(from.number(0xff)))
+    {
+    case wire_kind::digest:
+        return read_digest(from);
+    case wire_kind::changes:
+        return read_changes(from);
+    case wire_kind::pull:
+        return pull{core::revision(from.number())};
+    }
+    from.fail();
+    return pull{};
+}
+
+} // namespace
+
+std::string encode(message const& it)
+{
+    frame_writer out;
+    std::visit([&](auto const& m) { write(out, m); }, it);
+    return out.take();
+}
+
+core::result<message> decode(std::string_view frame)
+{
+    bool good = true;
+    try
+    {
+        auto const handle = msgpack::unpack(frame.data(), frame.size());
+        frame_elements from(handle.get(), good);
+        auto it = read_message(from);
+        from.end();
+        if (good)
+        {
+            return it;
+        }
+    }
+    catch (std::exception const& e)
+    {
+        return core::failure(core::error_kind::bad_frame, e.what());
+    }
+    return core::failure(core::error_kind::bad_frame,
+                         "elements of a message are missing or wrong");
+}
+
+} // namespace yuccafall::replication
--- /dev/null
+++ b/src/replication/neighbours.cpp
@@ -0,0 +1,106 @@
+// Ranks by hash, and the tree over them.
+#include "replication/neighbours.hpp"
+
+#include <algorithm>
+
+#include <boost/container_hash/hash.hpp>
+
+namespace yuccafall::replication {
+
+namespace {
+
+using ranking = std::vector<core::endpoint>;
+
+std::size_t weight_of(core::endpoint const& it)
+{
+    return boost::hash<std::string>()(core::to_string(it));
+}
+
+std::map<core::data_centre, ranking>
+rank_nodes(node_place const& self, std::vector<node_place> const& nodes)
+{
+    std::map<core::data_centre, std::set<core::endpoint>> sets;
+    sets[self.data_centre].insert(self.control);
+    for (auto const& it : nodes)
+    {
+        sets[it.data_centre].insert(it.control);
+    }
+    std::map<core::data_centre, ranking> out;
+    for (auto const& [data_centre, set] : sets)
+    {
+        auto& rank = out[data_centre];
+        rank.assign(set.begin(), set.end());
+        std::sort(rank.begin(), rank.end(), [](auto const& a, auto const& b) {
+            return std::pair(weight_of(a), a) < std::pair(weight_of(b), b);
+        });
+    }
+    return out;
+}
+
+// Positions of the two nodes that feed the one at `position`.
+std::pair<std::size_t, std::size_t> parents_of(std::size_t position)
+{
+    auto const group = (position - readers_per_data_centre) /
+                       (readers_per_data_centre * fan_out);
+    auto const first = group * readers_per_data_centre;
+    return {first, first + 1};
+}
+
+void add_sources_elsewhere(neighbourhood& to, std::size_t position,
+                           core::data_centre const& own,
+                           std::map<core::data_centre, ranking> const& ranks)
+{
+    if (ranks.size() < 2)
+    {
+        return;
+    }
+    // Starts with the next data centre in order, so that all get their share.
+    auto it = ranks.upper_bound(own);
+    auto const wanted =
+        to.reads_store ? std::min(most_data_centres, ranks.size() - 1) : 1;
+    auto const skipped = to.reads_store ? 0 : position % (ranks.size() - 1);
+    std::size_t seen = 0;
+    while (seen < wanted + skipped)
+    {
+        it = it == ranks.end() ? ranks.begin() : it;
+        if (it->first != own && seen++ >= skipped)
+        {
+            auto const& rank = it->second;
+            to.sources.insert(
+                rank[position %
+                     std::min(rank.size(), readers_per_data_centre)]);
+        }
+        ++it;
+    }
+}
+
+} // namespace
+
+neighbourhood neighbours_of(node_place const& self,
+                            std::vector<node_place> const& nodes)
+{
+    auto const ranks = rank_nodes(self, nodes);
+    auto const& own = ranks.at(self.data_centre);
+    auto const position = static_cast<std::size_t>(
+        std::find(own.begin(), own.end(), self.control) - own.begin());
+    neighbourhood out;
+    out.reads_store = position < readers_per_data_centre;
+    if (out.reads_store)
+    {
+        out.sources.insert(
+            own.begin(),
+            own.begin() + static_cast<long>(
+                              std::min(own.size(), readers_per_data_centre)));
+    }
+    else
+    {
+        auto const [first, second] = parents_of(position);
+        out.sources.insert(own[first]);
+        out.sources.insert(own[second]);
+    }
+    add_sources_elsewhere(out, position, self.data_centre, ranks);
+    out.sources.erase(self.control);
+    return out;
+}
+
+} // namespace yuccafall::replication
--- a/src/replication/store_reader.hpp
+++ b/src/replication/store_reader.hpp
@@ -19,7 +19,7 @@
     // How long a watch may wait at the store. A watch that was cut without a
     // reset, or that has missed changes, is noticed at its end; this and the
     // time for an answer stay below the platform's three seconds of recovery.
-    core::milliseconds watch_wait{2'000};
+    core::milliseconds watch_wait{1'000};
     // Pause after news, so that changes in quick succession are read together.
     core::milliseconds gather{150};
     // First and longest pause after a failed call; doubled in between.
--- /dev/null
+++ b/src/replication/tests/neighbours_test.cpp
@@ -0,0 +1,104 @@
+// Tests of who reads the store and who feeds whom.
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "replication/neighbours.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::replication;
+
+namespace {
+
+std::vector<node_place> fleet(std::size_t data_centres, std::size_t nodes)
+{
+    std::vector<node_place> out;
+    for (std::size_t d = 0; d < data_centres; ++d)
+    {
+        for (std::size_t n = 0; n < nodes; ++n)
+        {
+            node_place it;
+            it.control.address = core::ip_address(
+                fmt::format("10.{}.{}.{}", d, n / 200, n % 200 + 1));
+            it.control.port = core::port_number(7000);
+            it.data_centre = core::data_centre(fmt::format("dc-{}", d));
+            out.push_back(std::move(it));
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("each data centre has two readers and feeds the rest")
+{
+    auto const nodes = fleet(3, 5);
+    for (auto const& self : nodes)
+    {
+        auto const it = neighbours_of(self, nodes);
+        REQUIRE(it.sources.count(self.control) == 0);
+        std::size_t near = 0;
+        for (auto const& n : nodes)
+        {
+            near += n.data_centre == self.data_centre &&
+                    it.sources.count(n.control) != 0;
+        }
+        REQUIRE(near == (it.reads_store ? 1 : 2));
+        REQUIRE(it.sources.size() == (it.reads_store ? 3 : 3));
+    }
+    auto const readers =
+        std::count_if(nodes.begin(), nodes.end(), [&](auto const& n) {
+            return neighbours_of(n, nodes).reads_store;
+        });
+    REQUIRE(readers == 6);
+}
+
+// Pattern "5,500 nodes": calls to the store grow with the data centres, and
+// the work of one node does not grow with the fleet.
+TEST_CASE("a data centre of 423 nodes is fed within three levels")
+{
+    auto const nodes = fleet(2, 423);
+    std::map<core::endpoint, std::set<core::endpoint>> sources;
+    std::map<core::endpoint, std::size_t> fed;
+    std::set<core::endpoint> reached;
+    for (auto const& it : nodes)
+    {
+        auto const n = neighbours_of(it, nodes);
+        sources[it.control] = n.sources;
+        REQUIRE(n.sources.size() <= 4);
+        for (auto const& s : n.sources)
+        {
+            ++fed[s];
+        }
+        if (n.reads_store)
+        {
+            reached.insert(it.control);
+        }
+    }
+    REQUIRE(reached.size() == 4);
+    for (int level = 0; level < 3; ++level)
+    {
+        auto const before = reached;
+        for (auto const& it : nodes)
+        {
+            for (auto const& s : sources[it.control])
+            {
+                if (before.count(s) != 0)
+                {
+                    reached.insert(it.control);
+                }
+            }
+        }
+    }
+    REQUIRE(reached.size() == nodes.size());
+}
+
+TEST_CASE("a node alone reads the store")
+{
+    node_place const self{{core::ip_address("10.0.0.1"), core::port_number(1)},
+                          core::data_centre("a")};
+    auto const it = neighbours_of(self, {});
+    REQUIRE(it.reads_store);
+    REQUIRE(it.sources.empty());
+}
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -1,7 +1,6 @@
 // Frames over a TCP socket.
 #include "transport/frame_connection.hpp"
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -13,6 +12,8 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "transport/socket_options.hpp"
+
 namespace yuccafall::transport {
 
 namespace asio = boost::asio;
@@ -26,23 +27,6 @@
     return {core::error_kind::io, fmt::format("{}: {}", what, ec.message())};
 }
 
-// A peer whose VM has vanished sends no FIN; it is noticed after about a
-// minute without an answer to the kernel's probes.
-void probe_when_quiet(tcp::socket& socket)
-{
-    using idle =
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-    using gap =
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-    using count =
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-    error_code ignored;
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(idle(30), ignored);
-    socket.set_option(gap(10), ignored);
-    socket.set_option(count(3), ignored);
-}
-
 // Holds what a pending connect needs; whichever of the socket and the timer
 // ends first takes the handler.
 struct connect_attempt
@@ -77,8 +61,7 @@
       last_frame_(core::boot_clock::now())
 {
     error_code ec;
-    socket_.set_option(tcp::no_delay(true), ec);
-    probe_when_quiet(socket_);
+    set_socket_options(socket_);
     auto const peer = socket_.remote_endpoint(ec);
     remote_ =
         ec ? std::string("unknown")
--- a/src/transport/frame_reader.hpp
+++ b/src/transport/frame_reader.hpp
@@ -22,7 +22,7 @@
 
 // A whole body of the greatest size that a configuration allows.
 inline constexpr core::byte_count traffic_frame_limit{66UL * 1024 * 1024};
-inline constexpr core::byte_count control_frame_limit{4UL * 1024 * 1024};
+inline constexpr core::byte_count control_frame_limit{32UL * 1024 * 1024};
 
 constexpr core::byte_count frame_limit_of(channel_kind kind)
 {
