Poison: Refuse requests that were there at two crashes

Change: the node beside a worker tells a crash (runs break off and the worker takes no connection) from lost answers, and floods a notice for each request that was there; a request that was there at two crashes is refused on all nodes for a minute, before an upstream is chosen.

--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -97,6 +97,11 @@
     // The aim counts from the caller's first attempt.
     aim_ = arrived_ + route_->aim -
            in_->patience_.waited_before(route_->name, patience_of_caller);
+    if (is_poisoned())
+    {
+        return core::failure(error_kind::poisoned,
+                             "the request crashes the workers that run it");
+    }
     auto const found = view_->upstreams.find(service_);
     if (found == view_->upstreams.end() || found->second.empty())
     {
@@ -108,8 +113,25 @@
     return {};
 }
 
+bool call::is_poisoned() const
+{
+    return !view_->poisoned.empty() &&
+           view_->poisoned.count(poison::fingerprint_of(
+               message_.method, message_.target, message_.body)) != 0;
+}
+
 void call::try_next()
 {
+    // Another node may have told of a crash since the last attempt.
+    if (in_->view_->poisoned.size() > view_->poisoned.size() &&
+        in_->view_->poisoned.count(poison::fingerprint_of(
+            message_.method, message_.target, message_.body)) != 0)
+    {
+        refuse({error_kind::poisoned,
+                "the request crashes the workers that run it"},
+               {});
+        return;
+    }
     auto const now = core::boot_clock::now();
     balancing::demand const what{
         route_->name, core::byte_count(message_.body.size()), nested_};
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -27,6 +27,7 @@
 
 private:
     core::result<void> prepare();
+    bool is_poisoned() const;
     void try_next();
     void send_offer(balancing::upstream const& to);
     void received(peers::message it);
--- a/src/ingress/traffic_view.hpp
+++ b/src/ingress/traffic_view.hpp
@@ -5,9 +5,11 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "balancing/upstream_scores.hpp"
+#include "poison/suspect_list.hpp"
 #include "routing/route_index.hpp"
 #include "upstream/owner.hpp"
 
@@ -21,6 +23,8 @@
     // Workers at the address beside this node.
     std::vector<upstream::listed_worker> beside;
     core::node_count nodes{1};
+    // Requests that crash the workers which run them.
+    std::set<poison::fingerprint> poisoned;
 };
 
 } // namespace yuccafall::ingress
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "core/log.hpp"
+#include "poison/codec.hpp"
 #include "replication/codec.hpp"
 
 namespace yuccafall::node {
@@ -14,6 +15,13 @@
 
 namespace {
 
+// First byte of a control frame: whose message it holds.
+enum class frame_of : char
+{
+    replication = 1,
+    poison = 2,
+};
+
 constexpr core::milliseconds connect_timeout{500};
 // A node that cannot be reached is tried again after this.
 constexpr core::milliseconds retry_pause{500};
@@ -31,8 +39,9 @@
 } // namespace
 
 control_links::control_links(boost::asio::io_context& context,
-                             event_handler handler)
-    : context_(context), timer_(context), handler_(std::move(handler))
+                             event_handler handler, notice_handler notices)
+    : context_(context), timer_(context), handler_(std::move(handler)),
+      notices_(std::move(notices))
 {}
 
 core::result<void> control_links::listen(core::endpoint const& at)
@@ -158,38 +167,70 @@
 {
     link_id const link(++last_link_);
     links_.emplace(link, it);
-    it->start(
-        {[weak = weak_from_this(), link](std::string const& frame) {
-             auto const self = weak.lock();
-             if (!self)
-             {
-                 return;
-             }
-             auto message = replication::decode(frame);
-             if (!message)
-             {
-                 self->links_.at(link)->close(message.error());
-                 return;
-             }
-             self->handler_(
-                 replication::message_received{link, std::move(*message)});
-         },
-         nullptr,
-         [weak = weak_from_this(), link,
-          remote = it->remote()](core::error const& reason) {
-             core::log_event(core::log_level::info, "control_link_lost",
-                             {{"remote", remote}, {"reason", reason.detail}});
-             if (auto const self = weak.lock())
-             {
-                 self->lost(link);
-             }
-         }});
+    it->start({[weak = weak_from_this(), link](std::string const& frame) {
+                   if (auto const self = weak.lock())
+                   {
+                       self->received(link, frame);
+                   }
+               },
+               nullptr,
+               [weak = weak_from_this(), link,
+                remote = it->remote()](core::error const& reason) {
+                   core::log_event(
+                       core::log_level::info, "control_link_lost",
+                       {{"remote", remote}, {"reason", reason.detail}});
+                   if (auto const self = weak.lock())
+                   {
+                       self->lost(link);
+                   }
+               }});
     core::log_event(core::log_level::info, "control_link_opened",
                     {{"remote", it->remote()}});
     handler_(replication::link_opened{link});
     return link;
 }
 
+void control_links::received(link_id link, std::string const& frame)
+{
+    auto const body = std::string_view(frame).substr(1);
+    auto const fail = [&](core::error const& why) {
+        links_.at(link)->close(why);
+    };
+    switch (static_cast<frame_of>(frame.front()))
+    {
+    case frame_of::replication: {
+        auto message = replication::decode(body);
+        if (!message)
+        {
+            fail(message.error());
+            return;
+        }
+        handler_(replication::message_received{link, std::move(*message)});
+        return;
+    }
+    case frame_of::poison: {
+        auto const notice = poison::decode(body);
+        if (!notice)
+        {
+            fail(notice.error());
+            return;
+        }
+        notices_(*notice);
+        return;
+    }
+    }
+    fail({core::error_kind::bad_frame, "frame of an unknown slice"});
+}
+
+void control_links::flood(poison::notice const& it)
+{
+    for (auto const& [link, connection] : links_)
+    {
+        connection->send(static_cast<char>(frame_of::poison) +
+                         poison::encode(it));
+    }
+}
+
 void control_links::lost(link_id gone)
 {
     links_.erase(gone);
@@ -210,7 +251,8 @@
     auto const found = links_.find(to);
     if (found != links_.end())
     {
-        found->second->send(replication::encode(it));
+        found->second->send(static_cast<char>(frame_of::replication) +
+                            replication::encode(it));
     }
 }
 
--- a/src/node/control_links.hpp
+++ b/src/node/control_links.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "poison/suspect_list.hpp"
 #include "replication/replicator.hpp"
 #include "transport/frame_acceptor.hpp"
 
@@ -22,8 +23,10 @@
 public:
     using event_handler =
         std::function<void(replication::replicator_event const&)>;
+    using notice_handler = std::function<void(poison::notice const&)>;
 
-    control_links(boost::asio::io_context& context, event_handler handler);
+    control_links(boost::asio::io_context& context, event_handler handler,
+                  notice_handler notices);
 
     core::result<void> listen(core::endpoint const& at);
     core::endpoint local() const { return acceptor_->local(); }
@@ -32,6 +35,8 @@
     void want(std::set<core::endpoint> const& nodes);
 
     void send(replication::link_id to, replication::message const& it);
+    // To all nodes that are connected.
+    void flood(poison::notice const& it);
     void stop();
 
 private:
@@ -48,12 +53,14 @@
                    std::shared_ptr<transport::frame_connection> it);
     replication::link_id
     adopt(std::shared_ptr<transport::frame_connection> const& it);
+    void received(replication::link_id link, std::string const& frame);
     void lost(replication::link_id gone);
     void retry_later();
 
     boost::asio::io_context& context_;
     boost::asio::steady_timer timer_;
     event_handler handler_;
+    notice_handler notices_;
     std::shared_ptr<transport::frame_acceptor> acceptor_;
     std::map<core::endpoint, outgoing> wanted_;
     std::map<replication::link_id, std::shared_ptr<transport::frame_connection>>
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -49,6 +49,12 @@
             {
                 self->feed(it);
             }
+        },
+        [weak = weak_from_this()](poison::notice const& it) {
+            if (auto const self = weak.lock())
+            {
+                self->suspect(it);
+            }
         });
     if (auto listening = links_->listen(settings_.control); !listening)
     {
@@ -69,6 +75,25 @@
     links_->stop();
 }
 
+void control_plane::suspect(poison::notice const& it)
+{
+    auto const now = core::boot_clock::now();
+    auto const before = suspects_.poisoned(now);
+    if (!suspects_.merge(it, now))
+    {
+        return;
+    }
+    links_->flood(it);
+    if (suspects_.poisoned(now) != before)
+    {
+        core::log_event(core::log_level::warning, "request_poisoned",
+                        {{"request", it.request.value()}});
+        view_is_old_ = true;
+        publish();
+    }
+    watch_time();
+}
+
 bool control_plane::is_ready() const
 {
     return routes_ != nullptr && !replicator_.state().empty();
@@ -295,6 +320,7 @@
                 {id, it.slots, it.state == membership::worker_state::draining});
         }
     }
+    view->poisoned = suspects_.poisoned(core::boot_clock::now());
     view->nodes = core::node_count(std::max<std::size_t>(nodes.size(), 1));
     view_ = std::move(view);
     publish_(view_);
@@ -327,16 +353,25 @@
                       });
 }
 
+void control_plane::forget_poison()
+{
+    view_is_old_ =
+        view_is_old_ || (view_ && suspects_.poisoned(core::boot_clock::now()) !=
+                                      view_->poisoned);
+}
+
 void control_plane::watch_time()
 {
     auto const reader = replicator_.next_wake();
     auto const directory = directory_.next_wake();
-    if (!reader && !directory)
+    auto const poison = suspects_.next_wake(core::boot_clock::now());
+    auto const due = std::min({reader.value_or(core::instant::max()),
+                               directory.value_or(core::instant::max()),
+                               poison.value_or(core::instant::max())});
+    if (due == core::instant::max())
     {
         return;
     }
-    auto const due = std::min(reader.value_or(core::instant::max()),
-                              directory.value_or(core::instant::max()));
     // At least a millisecond away: timers are no finer than that.
     timer_.expires_after(std::max<core::duration>(due - core::boot_clock::now(),
                                                   core::milliseconds(1)));
@@ -345,6 +380,7 @@
             if (auto const self = weak.lock(); self && !ec)
             {
                 self->tell_directory(membership::time_passed{});
+                self->forget_poison();
                 self->feed(replication::clock_moved{});
             }
         });
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -34,6 +34,9 @@
     core::result<void> start();
     void stop();
 
+    // A request was there when a worker crashed, as this node or another saw.
+    void suspect(poison::notice const& it);
+
     // Has a configuration and a list of workers.
     bool is_ready() const;
     admin::control_status status() const;
@@ -61,6 +64,7 @@
     void tell_directory(membership::directory_event const& it);
     void publish();
     void assign_duty();
+    void forget_poison();
     void watch_time();
 
     boost::asio::io_context& context_;
@@ -71,6 +75,7 @@
     replication::replicator replicator_;
     std::shared_ptr<control_links> links_;
     membership::worker_directory directory_;
+    poison::suspect_list suspects_;
     std::shared_ptr<routing::route_index const> routes_;
     std::shared_ptr<ingress::traffic_view const> view_;
     // What the traffic threads were told differs from what is known now.
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -48,7 +48,11 @@
     node_process(settings it, std::string settings_path)
         : settings_(std::move(it)), settings_path_(std::move(settings_path)),
           signals_(context_, SIGTERM, SIGINT, SIGHUP), drain_timer_(context_),
-          traffic_(settings_, platform::header_functions())
+          traffic_(settings_, platform::header_functions(),
+                   [this](poison::notice const& seen) {
+                       asio::post(context_,
+                                  [this, seen] { control_->suspect(seen); });
+                   })
     {}
 
     run_outcome run()
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -36,8 +36,10 @@
 } // namespace
 
 traffic_plane::traffic_plane(node::settings settings,
-                             dialect::functions dialect)
+                             dialect::functions dialect,
+                             upstream::owner::notice_handler suspects)
     : settings_(std::move(settings)), dialect_(dialect),
+      suspects_(std::move(suspects)),
       counts_(std::make_shared<ingress::counters>())
 {}
 
@@ -48,8 +50,9 @@
 
 core::result<void> traffic_plane::start()
 {
-    owner_ =
-        std::make_shared<upstream::owner>(context_, settings_.worker, dialect_);
+    owner_ = std::make_shared<upstream::owner>(
+        context_, settings_.worker, dialect_, core::incarnation(random_seed()),
+        suspects_);
     auto peers = peers::peer_server::listen(
         context_, settings_.traffic,
         {[owner = owner_](peers::session_number from, peers::message m,
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -30,7 +30,9 @@
 class traffic_plane
 {
 public:
-    traffic_plane(node::settings settings, dialect::functions dialect);
+    // The handler is called on a traffic thread.
+    traffic_plane(node::settings settings, dialect::functions dialect,
+                  upstream::owner::notice_handler suspects);
     ~traffic_plane();
 
     core::result<void> start();
@@ -48,6 +50,7 @@
 private:
     node::settings settings_;
     dialect::functions dialect_;
+    upstream::owner::notice_handler suspects_;
     std::shared_ptr<ingress::counters> counts_;
     boost::asio::io_context context_{1};
     std::optional<boost::asio::executor_work_guard<
--- /dev/null
+++ b/src/poison/crash_watch.cpp
@@ -0,0 +1,41 @@
+// Gathers the runs of one crash.
+#include "poison/crash_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccafall::poison {
+
+bool crash_watch::run_lost(fingerprint const& request, core::instant now)
+{
+    lost_.erase(std::remove_if(
+                    lost_.begin(), lost_.end(),
+                    [&](auto const& it) { return now - it.when > together; }),
+                lost_.end());
+    lost_.push_back({request, now});
+    return !std::exchange(asking_, true);
+}
+
+void crash_watch::reached()
+{
+    asking_ = false;
+    lost_.clear();
+}
+
+std::vector<notice> crash_watch::unreachable(core::instant)
+{
+    asking_ = false;
+    std::vector<notice> out;
+    if (lost_.empty())
+    {
+        return out;
+    }
+    crash_id const crash{node_, ++crashes_};
+    for (auto const& it : std::exchange(lost_, {}))
+    {
+        out.push_back({it.request, crash});
+    }
+    return out;
+}
+
+} // namespace yuccafall::poison
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -40,10 +40,12 @@
 } // namespace
 
 owner::owner(boost::asio::io_context& context, core::endpoint worker,
-             dialect::functions dialect)
+             dialect::functions dialect, core::incarnation incarnation,
+             notice_handler suspects)
     : context_(context), timer_(context), dialect_(dialect),
       leg_(std::make_shared<worker_leg>(context, std::move(worker), dialect)),
-      queue_({}), tell_timer_(context)
+      queue_({}), tell_timer_(context), crashes_(incarnation),
+      suspects_(std::move(suspects))
 {}
 
 void owner::handle(session_id from, peers::message message,
@@ -314,6 +316,8 @@
     auto const remaining =
         std::max(whole_milliseconds(it.deadline - now), core::milliseconds(1));
     auto message = std::move(it.offer.message);
+    it.print =
+        poison::fingerprint_of(message.method, message.target, message.body);
     dialect_.mark_for_worker(message.headers,
                              {it.offer.upstream, remaining, it.offer.origin});
     it.run = leg_->start(message, it.offer.request, remaining + worker_grace,
@@ -397,6 +401,35 @@
     refuse(it, error_kind::no_upstream, unreachable_pause, false);
 }
 
+void owner::run_lost(poison::fingerprint const& request)
+{
+    if (!crashes_.run_lost(request, core::boot_clock::now()))
+    {
+        return;
+    }
+    leg_->probe([weak = weak_from_this()](bool reached) {
+        auto const self = weak.lock();
+        if (!self)
+        {
+            return;
+        }
+        if (reached)
+        {
+            self->crashes_.reached();
+            return;
+        }
+        auto const now = core::boot_clock::now();
+        self->unreachable_until_ = now + unreachable_pause;
+        for (auto const& it : self->crashes_.unreachable(now))
+        {
+            core::log_event(
+                core::log_level::warning, "worker_crashed",
+                {{"suspect", it.request.value()}, {"crash", it.crash.number}});
+            self->suspects_(it);
+        }
+    });
+}
+
 void owner::settle(entry& it, worker_failed& how)
 {
     if (it.canceled)
@@ -404,6 +437,10 @@
         return;
     }
     ++counts_.failed;
+    if (how.cause == http::failure_cause::closed_unanswered)
+    {
+        run_lost(it.print);
+    }
     auto const kind = how.cause == http::failure_cause::timed_out
                           ? error_kind::deadline_passed
                           : error_kind::upstream_failed;
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -17,6 +17,7 @@
 #include "dialect/dialect.hpp"
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
+#include "poison/crash_watch.hpp"
 #include "upstream/worker_leg.hpp"
 
 namespace yuccafall::upstream {
@@ -46,8 +47,13 @@
 class owner : public std::enable_shared_from_this<owner>
 {
 public:
+    using notice_handler = std::function<void(poison::notice const&)>;
+
+    // The handler is told of each request that ran in the worker when it
+    // crashed.
     owner(boost::asio::io_context& context, core::endpoint worker,
-          dialect::functions dialect);
+          dialect::functions dialect, core::incarnation incarnation,
+          notice_handler suspects);
 
     void handle(session_id from, peers::message message, reply_function reply);
     // The connection is gone: its calls are cancelled.
@@ -70,6 +76,7 @@
         peers::offer offer;
         reply_function reply;
         core::instant deadline;
+        poison::fingerprint print;
         std::optional<worker_run> run;
         core::instant started{};
         bool canceled = false;
@@ -99,6 +106,7 @@
                 core::milliseconds retry_after, bool reached_worker);
     void cancel(key const& id, entry& it);
     void observe_rejection(bool rejected);
+    void run_lost(poison::fingerprint const& request);
     void tell_load();
 
     boost::asio::io_context& context_;
@@ -126,6 +134,8 @@
     core::instant told_at_{};
     boost::asio::steady_timer tell_timer_;
     bool telling_ = false;
+    poison::crash_watch crashes_;
+    notice_handler suspects_;
     // Moving share of calls that the worker turned away, 0 to 1.
     double rejecting_ = 0;
     core::instant unreachable_until_{};
--- a/src/upstream/worker_leg.cpp
+++ b/src/upstream/worker_leg.cpp
@@ -143,6 +143,21 @@
     idle_.push_back({std::move(connection), core::boot_clock::now() + limit});
 }
 
+void worker_leg::probe(std::function<void(bool)> done)
+{
+    auto const connection =
+        std::make_shared<http::client_connection>(context_.get_executor());
+    connection->connect(worker_, settings_.connect_timeout,
+                        [self = shared_from_this(), connection,
+                         done = std::move(done)](core::result<void> const& it) {
+                            if (it)
+                            {
+                                self->keep(connection, {});
+                            }
+                            done(it.has_value());
+                        });
+}
+
 void worker_leg::close()
 {
     for (auto const& it : idle_)
--- a/src/upstream/worker_leg.hpp
+++ b/src/upstream/worker_leg.hpp
@@ -86,6 +86,9 @@
                      core::request_id const& request,
                      core::milliseconds timeout, handler done);
 
+    // Whether the worker takes a connection.
+    void probe(std::function<void(bool)> done);
+
     void close();
 
 private:
