Stand-ins: Speak the platform's protocol and test the whole path by processes

Cause: the tests of the new slices knew no sockets; the former stand-ins spoke a protocol of their own. They found that with two workers both of which had failed the chooser knew none (a booking got 503 instead of another try), which is mended, and that children kept listening sockets of the stand-ins.

--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -187,7 +187,7 @@
     }
     // Where most seem dead at once, it is more likely this node that is cut
     // off or late, and the ejections are not believed.
-    return 2 * well.size() >= all.size() || among.size() <= 2 ? well : all;
+    return 2 * well.size() >= all.size() ? well : all;
 }
 
 choice upstream_scores::choose(std::vector<upstream> const& among,
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -221,7 +221,7 @@
     write(serialize(it, {false, false}), true);
 }
 
-void server_connection::answer(response it)
+void server_connection::answer(response const& it)
 {
     if (phase_ != phase::answering)
     {
@@ -294,8 +294,8 @@
 }
 
 server::server(asio::io_context& context, handler handle, refusal refuse)
-    : context_(context), acceptor_(context), retry_timer_(context),
-      handle_(std::move(handle)), refuse_(std::move(refuse))
+    : acceptor_(context), retry_timer_(context), handle_(std::move(handle)),
+      refuse_(std::move(refuse))
 {}
 
 core::result<std::shared_ptr<server>> server::listen(asio::io_context& context,
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -50,7 +50,7 @@
     void start();
 
     // Once for each request.
-    void answer(response it);
+    void answer(response const& it);
 
     // Called once if the caller leaves before the answer.
     void on_gone(std::function<void()> handler) { gone_ = std::move(handler); }
@@ -145,7 +145,6 @@
     void accept();
     void forget(server_connection* it) { connections_.erase(it); }
 
-    boost::asio::io_context& context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_timer_;
     handler handle_;
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -156,8 +156,9 @@
         });
 }
 
-void control_links::connected(core::endpoint const& to,
-                              std::shared_ptr<transport::frame_connection> it)
+void control_links::connected(
+    core::endpoint const& to,
+    std::shared_ptr<transport::frame_connection> const& it)
 {
     wanted_.at(to).link = adopt(it);
 }
--- a/src/node/control_links.hpp
+++ b/src/node/control_links.hpp
@@ -50,7 +50,7 @@
 
     void connect(core::endpoint const& to);
     void connected(core::endpoint const& to,
-                   std::shared_ptr<transport::frame_connection> it);
+                   std::shared_ptr<transport::frame_connection> const& it);
     replication::link_id
     adopt(std::shared_ptr<transport::frame_connection> const& it);
     void received(replication::link_id link, std::string const& frame);
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -129,6 +129,7 @@
         places.emplace(it.address.address, it.data_centre);
     }
     std::vector<admin::node_place> out;
+    out.reserve(places.size());
     for (auto const& [address, data_centre] : places)
     {
         out.push_back({{address, settings_.operators.port}, data_centre});
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -34,7 +34,7 @@
 constexpr core::milliseconds quiet_before_end{700};
 
 // Kept from the time that the platform allows, for the process to end.
-constexpr core::milliseconds end_reserve{400};
+constexpr core::milliseconds end_reserve{800};
 
 // Part of that time in which new requests are still taken. What is left is
 // more than the longest time limit of a route in use.
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -3,6 +3,7 @@
 
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -154,7 +155,8 @@
         {
             return "a number from 0 to 1";
         }
-        into = core::percentage(static_cast<std::uint32_t>(it * 100 + 0.5));
+        into =
+            core::percentage(static_cast<std::uint32_t>(std::lround(it * 100)));
         return std::nullopt;
     };
 }
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -108,7 +108,7 @@
         connection_ = std::move(connection);
         last_received_ = core::boot_clock::now();
         connection_->start(
-            {[self = shared_from_this()](std::string frame) {
+            {[self = shared_from_this()](std::string const& frame) {
                  self->received(frame);
              },
              nullptr,
--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-replicator::replicator(replicator_settings settings, std::uint64_t seed)
+replicator::replicator(replicator_settings const& settings, std::uint64_t seed)
     : settings_(settings), reader_(settings.reader, seed), random_(seed)
 {
     reader_.handle(duty_changed{false}, core::instant());
--- a/src/replication/replicator.hpp
+++ b/src/replication/replicator.hpp
@@ -86,7 +86,7 @@
 class replicator
 {
 public:
-    replicator(replicator_settings settings, std::uint64_t seed);
+    replicator(replicator_settings const& settings, std::uint64_t seed);
 
     std::vector<replicator_action> handle(replicator_event const& event,
                                           core::instant now);
--- a/src/replication/tests/neighbours_test.cpp
+++ b/src/replication/tests/neighbours_test.cpp
@@ -45,7 +45,7 @@
                     it.sources.count(n.control) != 0;
         }
         REQUIRE(near == (it.reads_store ? 1 : 2));
-        REQUIRE(it.sources.size() == (it.reads_store ? 3 : 3));
+        REQUIRE(it.sources.size() == 3);
     }
     auto const readers =
         std::count_if(nodes.begin(), nodes.end(), [&](auto const& n) {
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -440,9 +440,9 @@
         f.run_until(ms + 50);
     }
     // Six readers, at most one call in 150 ms each.
-    REQUIRE(f.calls() - before <= 6 * (5'000 / 150 + 1));
+    REQUIRE(f.calls() - before <= 6UL * (5'000 / 150 + 1));
     auto const calm = f.calls();
     f.run_until(20'000);
     // At rest each data centre makes two calls a second.
-    REQUIRE(f.calls() - calm <= 6 * 10 + 6);
+    REQUIRE(f.calls() - calm <= 6UL * 10 + 6);
 }
--- a/src/retries/tests/retry_budget_test.cpp
+++ b/src/retries/tests/retry_budget_test.cpp
@@ -46,9 +46,9 @@
                 }
             }
         }
+        auto const each = 10'000 / (1000 / per_second);
         auto const requests =
-            static_cast<double>(nodes) *
-            static_cast<double>(1000 / (1000 / per_second) * 10);
+            static_cast<double>(nodes) * static_cast<double>(each);
         for (std::size_t s = 0; s + 10 <= retries.size(); ++s)
         {
             long in_window = 0;
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -42,7 +42,7 @@
 owner::owner(boost::asio::io_context& context, core::endpoint worker,
              dialect::functions dialect, core::incarnation incarnation,
              notice_handler suspects)
-    : context_(context), timer_(context), dialect_(dialect),
+    : timer_(context), dialect_(dialect),
       leg_(std::make_shared<worker_leg>(context, std::move(worker), dialect)),
       queue_({}), tell_timer_(context), crashes_(incarnation),
       suspects_(std::move(suspects))
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -109,7 +109,6 @@
     void run_lost(poison::fingerprint const& request);
     void tell_load();
 
-    boost::asio::io_context& context_;
     boost::asio::steady_timer timer_;
     core::instant timer_due_{};
     dialect::functions dialect_;
--- /dev/null
+++ b/stand_ins/deployment.cpp
@@ -0,0 +1,292 @@
+// Starting and asking the processes of a deployment.
+#include "stand_ins/deployment.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "http/client_connection.hpp"
+
+namespace yuccafall::stand_ins {
+
+using nlohmann::json;
+
+namespace {
+
+enum port_use : std::size_t
+{
+    callers_port,
+    readiness_port,
+    control_port,
+    traffic_port,
+    operators_port,
+    worker_port,
+    port_uses,
+};
+
+// Seeds in the settings of each node.
+constexpr std::size_t most_seeds = 3;
+
+constexpr std::chrono::seconds longest_wait(10);
+
+void pause(core::milliseconds time)
+{
+    boost::asio::io_context context;
+    boost::asio::steady_timer timer(context, time);
+    timer.wait();
+}
+
+} // namespace
+
+call_result call_once(core::endpoint const& to, http::request const& it,
+                      core::milliseconds patience)
+{
+    auto const started = core::boot_clock::now();
+    boost::asio::io_context context;
+    auto const connection =
+        std::make_shared<http::client_connection>(context.get_executor());
+    call_result out;
+    connection->connect(to, patience, [&](core::result<void> const& connected) {
+        if (!connected)
+        {
+            return;
+        }
+        http::exchange_terms terms;
+        terms.timeout = patience;
+        connection->exchange(http::serialize(it), std::move(terms),
+                             [&](http::exchange_result answer) {
+                                 if (answer)
+                                 {
+                                     out.status = answer->status;
+                                     out.headers = std::move(answer->headers);
+                                     out.body = std::move(answer->body);
+                                 }
+                                 connection->close();
+                             });
+    });
+    context.run();
+    out.took = core::boot_clock::now() - started;
+    return out;
+}
+
+deployment::deployment(std::vector<vm_terms> const& vms,
+                       std::vector<route_terms> routes)
+    : ports_(port_uses)
+{
+    std::string pattern = "/tmp/yuccafall-XXXXXX";
+    if (mkdtemp(pattern.data()) == nullptr)
+    {
+        throw std::system_error(errno, std::generic_category(), pattern);
+    }
+    folder_ = pattern;
+    store_ = std::make_unique<store_stand_in>(
+        core::endpoint{core::ip_address("127.0.0.1"), core::port_number(0)});
+    for (std::size_t i = 0; i < vms.size(); ++i)
+    {
+        vm_state it;
+        it.terms = vms[i];
+        it.address =
+            core::ip_address(fmt::format("127.1.{}.{}", i / 200, i % 200 + 1));
+        worker_terms terms;
+        terms.id = fmt::format("i-{}", i);
+        terms.service = it.terms.service;
+        terms.slots = it.terms.slots;
+        terms.work = it.terms.work;
+        it.worker = std::make_unique<worker_stand_in>(
+            core::endpoint{it.address, ports_[worker_port].port()}, terms);
+        vms_.push_back(std::move(it));
+        publish_worker(i);
+    }
+    publish(routes);
+}
+
+deployment::~deployment()
+{
+    vms_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void deployment::publish_worker(std::size_t vm, std::string const& state)
+{
+    auto const& it = vms_[vm];
+    json const entry = {{"service", it.terms.service},
+                        {"address", core::to_string(it.worker->local())},
+                        {"zone", it.terms.data_centre},
+                        {"version", "v1"},
+                        {"slots", it.terms.slots},
+                        {"state", state},
+                        {"cold_left_ms", 0},
+                        {"sequence", 1}};
+    store_->put("servers/" + it.worker->terms().id, entry.dump());
+}
+
+void deployment::remove_worker(std::size_t vm)
+{
+    store_->erase("servers/" + vms_[vm].worker->terms().id);
+}
+
+std::uint64_t deployment::publish(std::vector<route_terms> const& routes)
+{
+    version_ += 2;
+    auto paths = json::array();
+    std::set<std::string> names;
+    for (auto const& it : routes)
+    {
+        paths.push_back({{"name", "r" + it.prefix},
+                         {"prefix", it.prefix},
+                         {"kind", it.kind},
+                         {"timeout_ms", it.timeout_ms},
+                         {"target_latency_ms", it.aim_ms},
+                         {"priority", it.rank},
+                         {"service", it.service},
+                         {"max_attempts", 2}});
+        names.insert(it.service);
+    }
+    auto services = json::array();
+    for (auto const& it : names)
+    {
+        services.push_back({{"name", it},
+                            {"health_path", "/health"},
+                            {"max_connections", 130},
+                            {"protocol", "h1"},
+                            {"tls", false}});
+    }
+    json const document = {
+        {"version", version_},
+        {"services", services},
+        {"limits",
+         {{"max_header_bytes", 16'384},
+          {"max_body_bytes", 1'000'000},
+          {"header_timeout_ms", 3'000},
+          {"idle_timeout_ms", 15'000}}},
+        {"virtual_hosts", json::array({{{"host", host}, {"paths", paths}}})}};
+    store_->put("op/config", document.dump());
+    return version_;
+}
+
+std::string deployment::settings_of(std::size_t vm) const
+{
+    auto const& it = vms_[vm];
+    auto const at = [&](std::size_t use) {
+        return fmt::format("{}:{}", it.address.value(),
+                           ports_[use].port().value());
+    };
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min(most_seeds, vms_.size()); ++i)
+    {
+        seeds +=
+            fmt::format("{}{}:{}", i == 0 ? "" : ", ", vms_[i].address.value(),
+                        ports_[control_port].port().value());
+    }
+    return fmt::format("vm: vm-{}\nservice: {}\ndata_centre: {}\n"
+                       "region: here\nendpoints:\n  callers: {}\n"
+                       "  readiness: {}\n  control: {}\n  traffic: {}\n"
+                       "  operators: {}\n  worker: {}\n  platform: {}\n"
+                       "seeds: [{}]\nbounds:\n  longest_drain_s: 6\n",
+                       vm, it.terms.service, it.terms.data_centre,
+                       at(callers_port), at(readiness_port), at(control_port),
+                       at(traffic_port), at(operators_port), at(worker_port),
+                       core::to_string(store_->local()), seeds);
+}
+
+void deployment::start_node(std::size_t vm)
+{
+    auto const path = fmt::format("{}/node-{}.yaml", folder_, vm);
+    std::ofstream(path) << settings_of(vm);
+    vms_[vm].node.reset();
+    vms_[vm].node = std::make_unique<child_process>(
+        std::vector<std::string>{sibling_program("yuccafall"), "node",
+                                 "--settings=" + path},
+        fmt::format("{}/node-{}.log", folder_, vm));
+}
+
+void deployment::start_nodes()
+{
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+    {
+        start_node(i);
+    }
+}
+
+core::endpoint deployment::callers(std::size_t vm) const
+{
+    return {vms_[vm].address, ports_[callers_port].port()};
+}
+
+core::endpoint deployment::operators(std::size_t vm) const
+{
+    return {vms_[vm].address, ports_[operators_port].port()};
+}
+
+core::endpoint deployment::readiness(std::size_t vm) const
+{
+    return {vms_[vm].address, ports_[readiness_port].port()};
+}
+
+std::string deployment::log(std::size_t vm) const
+{
+    std::ifstream file(fmt::format("{}/node-{}.log", folder_, vm));
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+bool deployment::poll_until(std::function<bool()> const& done)
+{
+    auto const until = core::boot_clock::now() + longest_wait;
+    while (core::boot_clock::now() < until)
+    {
+        if (done())
+        {
+            return true;
+        }
+        pause(core::milliseconds(5));
+    }
+    return false;
+}
+
+bool deployment::wait_ready(std::size_t vm)
+{
+    return poll_until([&] {
+        return call_once(readiness(vm), request("/v1/ready", "ready"),
+                         core::milliseconds(500))
+                   .status == 200;
+    });
+}
+
+bool deployment::wait_version(std::size_t vm, std::uint64_t version)
+{
+    return poll_until([&] {
+        auto const it = call_once(operators(vm), request("/status", "status"),
+                                  core::milliseconds(500));
+        auto const body = json::parse(it.body, nullptr, false);
+        return body.is_object() &&
+               body.value("version", std::uint64_t{0}) >= version;
+    });
+}
+
+call_result deployment::call(std::size_t vm, http::request const& it,
+                             core::milliseconds patience)
+{
+    auto message = it;
+    http::set_header(message.headers, "Timeout-Ms",
+                     fmt::format("{}", patience.count()));
+    return call_once(callers(vm), message, patience);
+}
+
+http::request deployment::request(std::string const& target,
+                                  std::string const& id,
+                                  std::string const& method)
+{
+    http::request it;
+    it.method = method;
+    it.target = target;
+    it.headers = {{"Host", host}, {"Attempt-Id", id}};
+    return it;
+}
+
+} // namespace yuccafall::stand_ins
--- /dev/null
+++ b/stand_ins/deployment.hpp
@@ -0,0 +1,114 @@
+// A deployment on this machine: the store and the workers as stand-ins, the
+// nodes as processes of the real program, each VM with a loopback address of
+// its own.
+#ifndef YUCCAFALL_STAND_INS_DEPLOYMENT_HPP
+#define YUCCAFALL_STAND_INS_DEPLOYMENT_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "stand_ins/child_process.hpp"
+#include "stand_ins/port_reservation.hpp"
+#include "stand_ins/store_stand_in.hpp"
+#include "stand_ins/worker_stand_in.hpp"
+
+namespace yuccafall::stand_ins {
+
+struct vm_terms
+{
+    std::string data_centre;
+    std::string service;
+    std::size_t slots = 6;
+    core::milliseconds work{10};
+};
+
+struct route_terms
+{
+    std::string prefix;
+    std::string kind = "idempotent";
+    std::string service;
+    int timeout_ms = 2'000;
+    int aim_ms = 500;
+    int rank = 1;
+};
+
+// What a caller got.
+struct call_result
+{
+    // 0 where the connection ended without an answer.
+    int status = 0;
+    http::header_list headers;
+    std::string body;
+    core::duration took{};
+};
+
+class deployment
+{
+public:
+    // Starts the stand-ins and publishes workers and the first configuration.
+    deployment(std::vector<vm_terms> const& vms,
+               std::vector<route_terms> routes);
+    ~deployment();
+
+    std::size_t size() const { return vms_.size(); }
+
+    void start_node(std::size_t vm);
+    void start_nodes();
+    child_process& node(std::size_t vm) { return *vms_[vm].node; }
+    void forget_node(std::size_t vm) { vms_[vm].node.reset(); }
+    worker_stand_in& worker(std::size_t vm) { return *vms_[vm].worker; }
+    store_stand_in& store() { return *store_; }
+
+    // Publishes another configuration and returns its version.
+    std::uint64_t publish(std::vector<route_terms> const& routes);
+    void publish_worker(std::size_t vm, std::string const& state = "ready");
+    void remove_worker(std::size_t vm);
+
+    core::endpoint callers(std::size_t vm) const;
+    core::endpoint operators(std::size_t vm) const;
+    core::endpoint readiness(std::size_t vm) const;
+    std::string log(std::size_t vm) const;
+
+    // Waits until the node is ready; false after ten seconds.
+    bool wait_ready(std::size_t vm);
+    // Waits until the version is in force on the node.
+    bool wait_version(std::size_t vm, std::uint64_t version);
+
+    call_result call(std::size_t vm, http::request const& it,
+                     core::milliseconds patience = core::milliseconds(3'000));
+    // A request of a route's prefix with an id.
+    static http::request request(std::string const& target,
+                                 std::string const& id,
+                                 std::string const& method = "GET");
+
+    static constexpr char host[] = "shop.example";
+
+private:
+    struct vm_state
+    {
+        vm_terms terms;
+        core::ip_address address;
+        std::unique_ptr<worker_stand_in> worker;
+        std::unique_ptr<child_process> node;
+    };
+
+    std::string settings_of(std::size_t vm) const;
+    bool poll_until(std::function<bool()> const& done);
+
+    std::string folder_;
+    // Chosen free on one address, used on all.
+    std::vector<port_reservation> ports_;
+    std::unique_ptr<store_stand_in> store_;
+    std::vector<vm_state> vms_;
+    std::uint64_t version_ = 0;
+};
+
+// One request on a connection of its own.
+call_result call_once(core::endpoint const& to, http::request const& it,
+                      core::milliseconds patience);
+
+} // namespace yuccafall::stand_ins
+
+#endif
--- /dev/null
+++ b/stand_ins/port_reservation.cpp
@@ -0,0 +1,67 @@
+// Binds a socket to a loopback port of the kernel's choice.
+#include "stand_ins/port_reservation.hpp"
+
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace yuccafall::stand_ins {
+
+namespace {
+
+[[noreturn]] void throw_errno(char const* what)
+{
+    throw std::system_error(errno, std::generic_category(), what);
+}
+
+sockaddr* generic(sockaddr_in& it)
+{
+    return reinterpret_cast<sockaddr*>(&it);
+}
+
+} // namespace
+
+port_reservation::port_reservation()
+    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    if (socket_ < 0)
+    {
+        throw_errno("socket");
+    }
+    int const on = 1;
+    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    if (::bind(socket_, generic(address), size) != 0 ||
+        ::getsockname(socket_, generic(address), &size) != 0)
+    {
+        ::close(socket_);
+        throw_errno("bind");
+    }
+    port_ = core::port_number(ntohs(address.sin_port));
+}
+
+port_reservation::~port_reservation()
+{
+    if (socket_ >= 0)
+    {
+        ::close(socket_);
+    }
+}
+
+port_reservation::port_reservation(port_reservation&& other) noexcept
+    : socket_(std::exchange(other.socket_, -1)), port_(other.port_)
+{}
+
+core::endpoint port_reservation::endpoint() const
+{
+    return {core::ip_address("127.0.0.1"), port_};
+}
+
+} // namespace yuccafall::stand_ins
--- /dev/null
+++ b/stand_ins/worker_stand_in.cpp
@@ -0,0 +1,159 @@
+// A worker's requests.
+#include "stand_ins/worker_stand_in.hpp"
+
+#include <stdexcept>
+
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+namespace yuccafall::stand_ins {
+
+namespace {
+
+std::string field(http::request const& it, char const* name)
+{
+    auto const* text = http::find_header(it.headers, name);
+    return text == nullptr ? std::string() : *text;
+}
+
+} // namespace
+
+worker_stand_in::worker_stand_in(core::endpoint const& at, worker_terms terms)
+    : terms_(std::move(terms)), local_(at)
+{
+    thread_.ask([&] { listen(); });
+}
+
+worker_stand_in::~worker_stand_in()
+{
+    thread_.ask([&] {
+        if (server_)
+        {
+            server_->stop();
+        }
+    });
+    thread_.stop();
+}
+
+void worker_stand_in::listen()
+{
+    auto it = http::server::listen(
+        thread_.context(), local_,
+        [this](connection const& caller, http::request const& message) {
+            handle(caller, message);
+        },
+        [this](core::error const&) { return refusal(400); });
+    if (!it)
+    {
+        throw std::runtime_error(it.error().detail);
+    }
+    server_ = std::move(*it);
+    local_ = server_->local();
+}
+
+void worker_stand_in::set_fault(worker_fault it)
+{
+    thread_.ask([&] { fault_ = it; });
+}
+
+void worker_stand_in::crash()
+{
+    thread_.ask([&] {
+        server_->stop();
+        server_.reset();
+        running_ = 0;
+    });
+}
+
+void worker_stand_in::restart()
+{
+    thread_.ask([&] { listen(); });
+}
+
+worker_counts worker_stand_in::counts()
+{
+    return thread_.ask([&] { return counts_; });
+}
+
+std::string worker_stand_in::load() const
+{
+    return fmt::format("{},0,{},100", running_, terms_.slots);
+}
+
+http::response worker_stand_in::refusal(int status) const
+{
+    http::response it;
+    it.status = status;
+    it.headers = {{"Not-Executed", "1"},
+                  {"Instance-Id", terms_.id},
+                  {"Server-Load", load()}};
+    return it;
+}
+
+void worker_stand_in::handle(connection const& caller, http::request const& it)
+{
+    ++counts_.arrivals;
+    auto const expected = field(it, "Target-Instance");
+    if (!expected.empty() && expected != terms_.id)
+    {
+        caller->answer(refusal(421));
+        return;
+    }
+    if (running_ >= terms_.slots || fault_ == worker_fault::rejects)
+    {
+        ++counts_.rejected;
+        caller->answer(refusal(503));
+        return;
+    }
+    auto const id = field(it, "Attempt-Id");
+    ++counts_.runs[id];
+    counts_.origins.insert(field(it, "Caller-Service"));
+    if (fault_ == worker_fault::crashes &&
+        it.target.find("crash") != std::string::npos)
+    {
+        auto const server = std::exchange(server_, nullptr);
+        server->stop();
+        running_ = 0;
+        return;
+    }
+    ++running_;
+    counts_.most_running = std::max(counts_.most_running, running_);
+    auto const timer = std::make_shared<boost::asio::steady_timer>(
+        thread_.context(), terms_.work);
+    auto const left = std::make_shared<bool>(false);
+    caller->on_gone([this, timer, left] {
+        *left = true;
+        ++counts_.canceled;
+        timer->cancel();
+    });
+    timer->async_wait(
+        [this, caller, id, timer, left](boost::system::error_code const&) {
+            running_ -= running_ > 0 ? 1 : 0;
+            if (!*left)
+            {
+                finish(caller, id);
+            }
+        });
+}
+
+void worker_stand_in::finish(connection const& caller, std::string const& id)
+{
+    if (fault_ == worker_fault::loses_answers)
+    {
+        caller->close();
+        return;
+    }
+    http::response it;
+    it.status = 200;
+    it.headers = {{"Attempt-Id", id},
+                  {"Response-Signature", terms_.id + "." + id},
+                  {"Server-Load", load()}};
+    it.body = "answer to " + id;
+    if (fault_ == worker_fault::cuts_answers)
+    {
+        it.headers.push_back({"Content-Encoding", "broken"});
+    }
+    caller->answer(std::move(it));
+}
+
+} // namespace yuccafall::stand_ins
