--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -377,7 +377,7 @@
     }
     http::strip_connection_headers(it.headers);
     it.keep_alive = true;
-    caller_->answer(std::move(it));
+    caller_->answer(it);
     finish();
 }
 
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -149,7 +149,7 @@
             found->second.next_try = core::boot_clock::now() + retry_pause;
             if (it)
             {
-                self->connected(to, std::move(*it));
+                self->connected(to, *it);
                 return;
             }
             self->retry_later();
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -75,7 +75,7 @@
 }
 
 deployment::deployment(std::vector<vm_terms> const& vms,
-                       std::vector<route_terms> routes)
+                       std::vector<route_terms> const& routes)
     : ports_(port_uses)
 {
     std::string pattern = "/tmp/yuccafall-XXXXXX";
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -49,7 +49,7 @@
 public:
     // Starts the stand-ins and publishes workers and the first configuration.
     deployment(std::vector<vm_terms> const& vms,
-               std::vector<route_terms> routes);
+               std::vector<route_terms> const& routes);
     ~deployment();
 
     std::size_t size() const { return vms_.size(); }
--- a/stand_ins/worker_stand_in.cpp
+++ b/stand_ins/worker_stand_in.cpp
@@ -153,7 +153,7 @@
     {
         it.headers.push_back({"Content-Encoding", "broken"});
     }
-    caller->answer(std::move(it));
+    caller->answer(it);
 }
 
 } // namespace yuccafall::stand_ins
