Node: Use the worker's slots for a while after a stop begins

Change: other nodes' calls to the worker are refused 1.8 s after SIGTERM only. A worker that leaves is known by its entry.

--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -30,6 +30,10 @@
 // after two misses; requests of late ones are waited for this long.
 constexpr core::milliseconds shortest_drain{2'800};
 
+// The worker beside a node that stops goes on; its slots are used until
+// shortly before the node can end.
+constexpr core::milliseconds worker_held{1'800};
+
 // Without a new request for this long, callers are taken to have moved.
 constexpr core::milliseconds quiet_before_end{700};
 
@@ -201,6 +205,10 @@
     {
         auto const now = core::boot_clock::now();
         auto const since = now - *stopping_since_;
+        if (since >= worker_held)
+        {
+            traffic_.release_worker();
+        }
         if (since >= settings_.longest_drain *
                          static_cast<long>(taking_part.value()) / 100)
         {
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -103,10 +103,12 @@
 
 void traffic_plane::start_leaving()
 {
-    asio::post(context_, [this] {
-        ingress_->start_leaving();
-        owner_->start_leaving();
-    });
+    asio::post(context_, [this] { ingress_->start_leaving(); });
+}
+
+void traffic_plane::release_worker()
+{
+    asio::post(context_, [this] { owner_->start_leaving(); });
 }
 
 void traffic_plane::stop_taking()
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -38,7 +38,10 @@
     core::result<void> start();
 
     void publish(std::shared_ptr<ingress::traffic_view const> view);
+    // Callers are asked to go elsewhere.
     void start_leaving();
+    // Other nodes' calls to the worker are refused from now on.
+    void release_worker();
     void stop_taking();
     // The handler runs on a traffic thread.
     void ask_state(std::function<void(traffic_state)> done);
