Metrics: Count the owner's side; remove what nothing used

Change: counters in core, those of the owner on the metrics page; routing::weighted_split; gone are all_full, strip_attestation, the fields of services that nothing read.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -89,7 +89,7 @@
     std::uint64_t total = 0;
     for (std::size_t i = 0; i < ingress::latency_bounds.size(); ++i)
     {
-        total += it.buckets[i].load(std::memory_order_relaxed);
+        total += core::value_of(it.buckets[i]);
         ClientMetric::Bucket bucket;
         bucket.cumulative_count = total;
         bucket.upper_bound =
@@ -97,36 +97,33 @@
             ms_per_second;
         metric.histogram.bucket.push_back(bucket);
     }
-    metric.histogram.sample_count =
-        total + it.buckets.back().load(std::memory_order_relaxed);
+    metric.histogram.sample_count = total + core::value_of(it.buckets.back());
     metric.histogram.sample_sum =
-        static_cast<double>(it.sum_ms.load(std::memory_order_relaxed)) /
-        ms_per_second;
+        static_cast<double>(core::value_of(it.sum_ms)) / ms_per_second;
     to.metric.push_back(std::move(metric));
 }
 
 void add_traffic(families& out, ingress::counters const& it)
 {
-    auto const value = [](ingress::counter const& c) {
-        return c.load(std::memory_order_relaxed);
-    };
     counter(out, "yuccafall_requests_total", "Requests of callers.",
-            value(it.requests));
+            core::value_of(it.requests));
     counter(out, "yuccafall_requests_answered_total",
-            "Requests that ended with a worker's answer.", value(it.answered));
+            "Requests that ended with a worker's answer.",
+            core::value_of(it.answered));
     counter(out, "yuccafall_callers_left_total",
             "Requests whose caller left before the answer.",
-            value(it.callers_left));
+            core::value_of(it.callers_left));
     counter(out, "yuccafall_offers_total", "Calls offered to upstreams.",
-            value(it.offers));
+            core::value_of(it.offers));
     counter(out, "yuccafall_redirects_total",
             "Calls offered again that had reached no worker.",
-            value(it.redirects));
+            core::value_of(it.redirects));
     counter(out, "yuccafall_retries_total",
             "Calls offered again that had reached a worker.",
-            value(it.retries));
+            core::value_of(it.retries));
     counter(out, "yuccafall_retries_denied_total",
-            "Retries that the budget did not allow.", value(it.retries_denied));
+            "Retries that the budget did not allow.",
+            core::value_of(it.retries_denied));
     auto& ended = family(out, "yuccafall_requests_ended_total",
                          "Requests that ended with an answer of the node's "
                          "own, by cause.",
@@ -134,12 +131,33 @@
     for (std::size_t i = 0; i < it.refused.size(); ++i)
     {
         auto const kind = static_cast<core::error_kind>(i);
-        add_value(ended, static_cast<double>(value(it.refused[i])),
+        add_value(ended, static_cast<double>(core::value_of(it.refused[i])),
                   {{"cause", std::string(core::answer_of(kind).name)}});
     }
     add_latency(out, it.latency);
 }
 
+void add_owner(families& out, upstream::counters const& it)
+{
+    counter(out, "yuccafall_worker_offers_total",
+            "Calls offered for the worker beside this node.",
+            core::value_of(it.offers));
+    counter(out, "yuccafall_worker_runs_total", "Calls sent to the worker.",
+            core::value_of(it.runs));
+    counter(out, "yuccafall_worker_refused_total",
+            "Offers that were refused, by the node or the worker.",
+            core::value_of(it.refused));
+    counter(out, "yuccafall_worker_rejected_total",
+            "Calls that the worker turned away.",
+            core::value_of(it.rejected_by_worker));
+    counter(out, "yuccafall_worker_failed_total",
+            "Calls that the worker did not answer as it should.",
+            core::value_of(it.failed));
+    counter(out, "yuccafall_worker_canceled_total",
+            "Calls that the callers' nodes gave up.",
+            core::value_of(it.canceled));
+}
+
 void add_process(families& out)
 {
     auto const usage = usage_of_process();
@@ -165,6 +183,10 @@
     {
         add_traffic(out, *it.counts);
     }
+    if (it.owner_counts)
+    {
+        add_owner(out, *it.owner_counts);
+    }
     add_process(out);
     return prometheus::TextSerializer().Serialize(out);
 }
--- a/src/admin/state.hpp
+++ b/src/admin/state.hpp
@@ -46,6 +46,7 @@
     // Null before the first one.
     std::shared_ptr<ingress::traffic_view const> view;
     std::shared_ptr<ingress::counters const> counts;
+    std::shared_ptr<upstream::counters const> owner_counts;
 };
 
 } // namespace yuccafall::admin
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -89,12 +89,7 @@
 };
 struct none_known
 {};
-// All that are left are known to be full.
-struct all_full
-{
-    core::milliseconds retry_after;
-};
-using choice = std::variant<chosen, none_known, all_full>;
+using choice = std::variant<chosen, none_known>;
 
 struct demand
 {
--- a/src/dialect/dialect.hpp
+++ b/src/dialect/dialect.hpp
@@ -52,8 +52,6 @@
     void (*mark_for_worker)(http::header_list& headers,
                             worker_marks const& marks);
     answer_marks (*read_answer)(http::response const& answer);
-    // Removes what only a worker's own answer may bear.
-    void (*strip_attestation)(http::header_list& headers);
 };
 
 } // namespace yuccafall::dialect
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -54,7 +54,7 @@
 
 void call::start()
 {
-    add(in_->counts_->requests);
+    core::add(in_->counts_->requests);
     if (auto const prepared = prepare(); !prepared)
     {
         refuse(prepared.error(), {});
@@ -143,10 +143,6 @@
             [&](balancing::none_known const&) {
                 refuse({error_kind::no_upstream, "no further worker is listed"},
                        retry_after_);
-            },
-            [&](balancing::all_full const& it) {
-                refuse({error_kind::overloaded, "all workers are full"},
-                       it.retry_after);
             }},
         found);
 }
@@ -181,7 +177,7 @@
     {
         it.message.body = message_.body;
     }
-    add(in_->counts_->offers);
+    core::add(in_->counts_->offers);
     in_->scores_.sent(to.id, now);
     in_->links_->open(path_, *attempt_,
                       {[self = shared_from_this()](peers::message m) {
@@ -288,7 +284,7 @@
     auto const now = core::boot_clock::now();
     if (it.counts && !in_->budget_.take(service_, now))
     {
-        add(in_->counts_->retries_denied);
+        core::add(in_->counts_->retries_denied);
         auto const* refused = std::get_if<attempt_refused>(&how);
         refuse(
             refused != nullptr
@@ -297,7 +293,7 @@
             retry_after_);
         return;
     }
-    add(it.counts ? in_->counts_->retries : in_->counts_->redirects);
+    core::add(it.counts ? in_->counts_->retries : in_->counts_->redirects);
     if (core::admit_request_line(core::request_event::exceptional))
     {
         core::log_event(core::log_level::info, "call_moved",
@@ -350,7 +346,7 @@
     {
         return;
     }
-    add(in_->counts_->callers_left);
+    core::add(in_->counts_->callers_left);
     if (attempt_)
     {
         in_->links_->send(path_, peers::cancel{*attempt_});
@@ -366,7 +362,7 @@
         return;
     }
     auto const took = whole_milliseconds(core::boot_clock::now() - arrived_);
-    add(in_->counts_->answered);
+    core::add(in_->counts_->answered);
     in_->counts_->latency.observe(took);
     if (core::admit_request_line(core::request_event::ordinary))
     {
@@ -395,7 +391,7 @@
     {
         kind = error_kind::upstream_failed;
     }
-    add(in_->counts_->refused[static_cast<std::size_t>(kind)]);
+    core::add(in_->counts_->refused[static_cast<std::size_t>(kind)]);
     if (core::admit_request_line(core::request_event::exceptional))
     {
         core::log_event(
--- a/src/ingress/counters.hpp
+++ b/src/ingress/counters.hpp
@@ -4,21 +4,13 @@
 #define YUCCAFALL_INGRESS_COUNTERS_HPP
 
 #include <array>
-#include <atomic>
-#include <cstdint>
 
+#include "core/counter.hpp"
 #include "core/error.hpp"
 #include "core/units.hpp"
 
 namespace yuccafall::ingress {
 
-using counter = std::atomic<std::uint64_t>;
-
-inline void add(counter& to, std::uint64_t n = 1)
-{
-    to.fetch_add(n, std::memory_order_relaxed);
-}
-
 // Upper bounds of the buckets of latencies.
 inline constexpr std::array<core::milliseconds, 10> latency_bounds{
     core::milliseconds(5),   core::milliseconds(20),   core::milliseconds(50),
@@ -29,8 +21,8 @@
 struct latency_histogram
 {
     // One more than the bounds, for what is longer than all.
-    std::array<counter, latency_bounds.size() + 1> buckets{};
-    counter sum_ms{0};
+    std::array<core::counter, latency_bounds.size() + 1> buckets{};
+    core::counter sum_ms{0};
 
     void observe(core::milliseconds it)
     {
@@ -39,22 +31,22 @@
         {
             ++i;
         }
-        add(buckets[i]);
-        add(sum_ms, static_cast<std::uint64_t>(it.count()));
+        core::add(buckets[i]);
+        core::add(sum_ms, static_cast<std::uint64_t>(it.count()));
     }
 };
 
 struct counters
 {
-    counter requests{0};
-    counter answered{0};
-    counter callers_left{0};
-    counter offers{0};
-    counter redirects{0};
-    counter retries{0};
-    counter retries_denied{0};
+    core::counter requests{0};
+    core::counter answered{0};
+    core::counter callers_left{0};
+    core::counter offers{0};
+    core::counter redirects{0};
+    core::counter retries{0};
+    core::counter retries_denied{0};
     // By error kind.
-    std::array<counter, core::error_kind_count> refused{};
+    std::array<core::counter, core::error_kind_count> refused{};
     latency_histogram latency;
 };
 
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -17,7 +17,7 @@
 #include "ingress/traffic_view.hpp"
 #include "peers/peer_links.hpp"
 #include "retries/retry_budget.hpp"
-#include "routing/traffic_split.hpp"
+#include "routing/weighted_split.hpp"
 
 namespace yuccafall::ingress {
 
@@ -76,7 +76,7 @@
     std::shared_ptr<traffic_view const> view_;
     balancing::upstream_scores scores_;
     retries::retry_budget budget_;
-    routing::traffic_split split_;
+    routing::weighted_split split_;
     caller_patience patience_;
     core::random_source random_;
     core::incarnation const incarnation_;
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -130,6 +130,7 @@
         it.control.leaving = stopping_since_.has_value();
         it.view = control_->view();
         it.counts = traffic_.counts();
+        it.owner_counts = traffic_.owner_counts();
         return it;
     }
 
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -44,7 +44,8 @@
                              upstream::owner::notice_handler suspects)
     : settings_(std::move(settings)), dialect_(dialect),
       suspects_(std::move(suspects)),
-      counts_(std::make_shared<ingress::counters>())
+      counts_(std::make_shared<ingress::counters>()),
+      owner_counts_(std::make_shared<upstream::counters>())
 {}
 
 traffic_plane::~traffic_plane()
@@ -56,7 +57,7 @@
 {
     owner_ = std::make_shared<upstream::owner>(
         context_, settings_.worker, dialect_, core::incarnation(random_seed()),
-        suspects_);
+        suspects_, owner_counts_);
     auto peers = peers::peer_server::listen(
         context_, settings_.traffic,
         {[owner = owner_](peers::session_number from, peers::message m,
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -49,12 +49,17 @@
     void stop();
 
     std::shared_ptr<ingress::counters> const& counts() const { return counts_; }
+    std::shared_ptr<upstream::counters> const& owner_counts() const
+    {
+        return owner_counts_;
+    }
 
 private:
     node::settings settings_;
     dialect::functions dialect_;
     upstream::owner::notice_handler suspects_;
     std::shared_ptr<ingress::counters> counts_;
+    std::shared_ptr<upstream::counters> owner_counts_;
     boost::asio::io_context context_{1};
     std::optional<boost::asio::executor_work_guard<
         boost::asio::io_context::executor_type>>
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -2,7 +2,7 @@
 #ifndef YUCCAFALL_ROUTING_CONFIGURATION_HPP
 #define YUCCAFALL_ROUTING_CONFIGURATION_HPP
 
-#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,14 +52,6 @@
     std::vector<target> targets;
 };
 
-struct service
-{
-    core::service_name name;
-    std::string health_path;
-    // Of one worker, from all callers together.
-    core::connection_count connections;
-};
-
 // What a caller may send, and how long it may take.
 struct caller_limits
 {
@@ -75,7 +67,7 @@
 {
     core::configuration_version version;
     std::vector<route> routes;
-    std::map<core::service_name, service> services;
+    std::set<core::service_name> services;
     caller_limits limits;
 };
 
--- a/src/routing/traffic_split.cpp
+++ b/src/routing/weighted_split.cpp
@@ -1,11 +1,11 @@
 // Smooth weighted round robin over the targets of a route.
-#include "routing/traffic_split.hpp"
+#include "routing/weighted_split.hpp"
 
 #include <algorithm>
 
 namespace yuccafall::routing {
 
-core::service_name const& traffic_split::next(route const& it)
+core::service_name const& weighted_split::next(route const& it)
 {
     if (it.targets.size() == 1)
     {
--- a/src/routing/traffic_split.hpp
+++ b/src/routing/weighted_split.hpp
@@ -1,6 +1,6 @@
 // Shares the requests of a route among its targets by weight.
-#ifndef YUCCAFALL_ROUTING_TRAFFIC_SPLIT_HPP
-#define YUCCAFALL_ROUTING_TRAFFIC_SPLIT_HPP
+#ifndef YUCCAFALL_ROUTING_WEIGHTED_SPLIT_HPP
+#define YUCCAFALL_ROUTING_WEIGHTED_SPLIT_HPP
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,7 @@
 
 // Smooth weighted round robin: of any run of requests each target gets its
 // share to within one request, and requests of one target are spread out.
-class traffic_split
+class weighted_split
 {
 public:
     core::service_name const& next(route const& it);
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -41,11 +41,11 @@
 
 owner::owner(boost::asio::io_context& context, core::endpoint worker,
              dialect::functions dialect, core::incarnation incarnation,
-             notice_handler suspects)
+             notice_handler suspects, std::shared_ptr<counters> counts)
     : timer_(context), dialect_(dialect),
       leg_(std::make_shared<worker_leg>(context, std::move(worker), dialect)),
       queue_({}), tell_timer_(context), crashes_(incarnation),
-      suspects_(std::move(suspects))
+      suspects_(std::move(suspects)), counts_(std::move(counts))
 {}
 
 void owner::handle(session_id from, peers::message message,
@@ -63,7 +63,7 @@
 
 void owner::on(session_id from, peers::offer& it, reply_function reply)
 {
-    ++counts_.offers;
+    core::add(counts_->offers);
     auto const now = core::boot_clock::now();
     listeners_[from] = {reply, it.upstream, now};
     key const id{core::incarnation(0), ++next_key_};
@@ -128,7 +128,7 @@
 // unknown how much of it was done.
 void owner::cancel(key const& id, entry& it)
 {
-    ++counts_.canceled;
+    core::add(counts_->canceled);
     it.canceled = true;
     if (!it.run)
     {
@@ -290,7 +290,7 @@
 void owner::refuse(entry const& it, error_kind kind,
                    core::milliseconds retry_after, bool reached_worker)
 {
-    ++counts_.refused;
+    core::add(counts_->refused);
     if (core::admit_request_line(core::request_event::exceptional))
     {
         core::log_event(core::log_level::info, "call_refused",
@@ -310,7 +310,7 @@
 
 void owner::run(key const& id, entry& it)
 {
-    ++counts_.runs;
+    core::add(counts_->runs);
     auto const now = core::boot_clock::now();
     it.started = now;
     auto const remaining =
@@ -377,7 +377,7 @@
 
 void owner::settle(entry& it, worker_refused& how)
 {
-    ++counts_.rejected_by_worker;
+    core::add(counts_->rejected_by_worker);
     if (how.marks.wrong_worker)
     {
         ended_.insert(it.offer.upstream);
@@ -436,7 +436,7 @@
     {
         return;
     }
-    ++counts_.failed;
+    core::add(counts_->failed);
     if (how.cause == http::failure_cause::closed_unanswered)
     {
         run_lost(it.print);
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -18,6 +18,7 @@
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
 #include "poison/crash_watch.hpp"
+#include "upstream/counters.hpp"
 #include "upstream/worker_leg.hpp"
 
 namespace yuccafall::upstream {
@@ -33,16 +34,6 @@
     bool draining = false;
 };
 
-struct owner_counts
-{
-    std::uint64_t offers = 0;
-    std::uint64_t runs = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t rejected_by_worker = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t canceled = 0;
-};
-
 // Invariant: used on one traffic thread.
 class owner : public std::enable_shared_from_this<owner>
 {
@@ -53,7 +44,7 @@
     // crashed.
     owner(boost::asio::io_context& context, core::endpoint worker,
           dialect::functions dialect, core::incarnation incarnation,
-          notice_handler suspects);
+          notice_handler suspects, std::shared_ptr<counters> counts);
 
     void handle(session_id from, peers::message message, reply_function reply);
     // The connection is gone: its calls are cancelled.
@@ -67,7 +58,6 @@
     void close();
 
     balancing::load_report load() const;
-    owner_counts const& counts() const { return counts_; }
 
 private:
     struct entry
@@ -141,7 +131,7 @@
     bool leaving_ = false;
     // The worker beside this node was listed and is not any more.
     bool gone_ = false;
-    owner_counts counts_;
+    std::shared_ptr<counters> counts_;
 };
 
 } // namespace yuccafall::upstream
