Poison: Tell notices to nodes that connect later

A notice is flooded once, over the links of that moment; a node whose links were being replaced never got it. Change: a link that opens is sent all suspects that are known. Test: a list that takes all notices of another agrees with it.

--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -223,6 +223,16 @@
     fail({core::error_kind::bad_frame, "frame of an unknown slice"});
 }
 
+void control_links::send(link_id to, poison::notice const& it)
+{
+    auto const found = links_.find(to);
+    if (found != links_.end())
+    {
+        found->second->send(static_cast<char>(frame_of::poison) +
+                            poison::encode(it));
+    }
+}
+
 void control_links::flood(poison::notice const& it)
 {
     for (auto const& [link, connection] : links_)
--- a/src/node/control_links.hpp
+++ b/src/node/control_links.hpp
@@ -35,6 +35,7 @@
     void want(std::set<core::endpoint> const& nodes);
 
     void send(replication::link_id to, replication::message const& it);
+    void send(replication::link_id to, poison::notice const& it);
     // To all nodes that are connected.
     void flood(poison::notice const& it);
     void stop();
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -139,7 +139,15 @@
 
 void control_plane::feed(replication::replicator_event const& it)
 {
-    auto const actions = replicator_.handle(it, core::boot_clock::now());
+    auto const now = core::boot_clock::now();
+    if (auto const* opened = std::get_if<replication::link_opened>(&it))
+    {
+        for (auto const& notice : suspects_.notices(now))
+        {
+            links_->send(opened->link, notice);
+        }
+    }
+    auto const actions = replicator_.handle(it, now);
     for (auto const& a : actions)
     {
         std::visit([this](auto const& what) { act(what); }, a);
--- a/src/poison/suspect_list.cpp
+++ b/src/poison/suspect_list.cpp
@@ -60,6 +60,22 @@
     return out;
 }
 
+std::vector<notice> suspect_list::notices(core::instant now) const
+{
+    std::vector<notice> out;
+    for (auto const& [request, it] : entries_)
+    {
+        for (auto const& crash : it.crashes)
+        {
+            if (it.until > now)
+            {
+                out.push_back({request, crash});
+            }
+        }
+    }
+    return out;
+}
+
 std::optional<core::instant> suspect_list::next_wake(core::instant now) const
 {
     std::optional<core::instant> first;
--- a/src/poison/suspect_list.hpp
+++ b/src/poison/suspect_list.hpp
@@ -50,6 +50,9 @@
 
     std::set<fingerprint> poisoned(core::instant now) const;
 
+    // All that is known, for a node that was not connected when it was told.
+    std::vector<notice> notices(core::instant now) const;
+
     // When poisoned() changes by itself, if ever.
     std::optional<core::instant> next_wake(core::instant now) const;
 
--- a/src/poison/tests/poison_test.cpp
+++ b/src/poison/tests/poison_test.cpp
@@ -50,6 +50,21 @@
     REQUIRE(it.poisoned(at(20)).empty());
 }
 
+// Guards against a node that connects after the flood and never hears of it.
+TEST_CASE("a list that takes all notices of another agrees with it")
+{
+    suspect_list told;
+    told.merge(make_notice(7, 1, 1), at(0));
+    told.merge(make_notice(7, 2, 1), at(1));
+    suspect_list late;
+    for (auto const& it : told.notices(at(2)))
+    {
+        late.merge(it, at(2));
+    }
+    REQUIRE(late.poisoned(at(3)) == told.poisoned(at(3)));
+    REQUIRE(late.poisoned(at(3)).size() == 1);
+}
+
 TEST_CASE("the order of notices does not matter")
 {
     rc::prop("orders", [](std::vector<std::uint8_t> order) {
