Replication: Send large values as patches between nodes

Cause: on the grown deployments (KNOWN-RED) a configuration of 1,132 routes is some 280 kB. A source sent it whole to up to sixteen nodes over a link of 7.7 Mbit/s, so that each version took seconds, versions queued behind each other and calls between nodes timed out behind them. Decoding it took 5.7 ms of a full core, 57 ms on a VM with a tenth of one, next to the traffic.

Change: a large value passes between nodes compressed, or as a patch of the value that the other node holds (Zstandard with a prefix); patches are passed on as they came. A patch of another value than the one held asks for the whole state.

Conclusion: whole values over narrow links were the cause. Versions of a storm still take 0.8 s each to come from the store, since a watch returns each of them whole.

--- a/src/replication/codec.cpp
+++ b/src/replication/codec.cpp
@@ -43,7 +43,7 @@
 
 void write(frame_writer& to, changes const& it)
 {
-    to.array(5);
+    to.array(6);
     to.number(static_cast<std::uint8_t>(wire_kind::changes));
     to.number(it.set.base.value());
     to.number(it.set.as_of.value());
@@ -56,6 +56,14 @@
         to.number(i.revision.value());
         to.flag(i.deleted);
     }
+    to.array(it.set.compressed.size() * 4);
+    for (auto const& i : it.set.compressed)
+    {
+        to.text(i.key);
+        to.number(i.revision.value());
+        to.number(i.patch_of.value());
+        to.text(i.frame);
+    }
 }
 
 void write(frame_writer& to, pull const& it)
@@ -91,6 +99,17 @@
         it.set.items.push_back(std::move(i));
     }
     items.end();
+    auto compressed = from.array();
+    while (compressed.good() && compressed.left() >= 4)
+    {
+        compressed_item i;
+        i.key = compressed.text();
+        i.revision = core::revision(compressed.number());
+        i.patch_of = core::revision(compressed.number());
+        i.frame = compressed.text();
+        it.set.compressed.push_back(std::move(i));
+    }
+    compressed.end();
     return it;
 }
 
--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -187,7 +187,12 @@
         return;
     }
     bool const is_news = it.set.as_of > state_.as_of();
-    apply(it.set, out);
+    if (!apply(it.set, out))
+    {
+        // A patch of a value that is not held here: the whole state serves.
+        out.emplace_back(send_message{from, pull{core::revision()}});
+        return;
+    }
     if (state_.as_of() == it.set.as_of)
     {
         confirmed_by_peers_ = std::max(confirmed_by_peers_, peer.confirmed);
@@ -249,13 +254,14 @@
     }
 }
 
-void replicator::apply(change_set const& it, actions& out)
+bool replicator::apply(change_set const& it, actions& out)
 {
-    auto news = state_.apply(it);
-    if (news && !news->empty())
+    auto merged = state_.apply(it);
+    if (!merged.news.empty())
     {
-        out.emplace_back(take_items{std::move(*news)});
+        out.emplace_back(take_items{std::move(merged.news)});
     }
+    return merged.complete;
 }
 
 void replicator::confirm(core::instant when, core::instant now, actions& out)
--- a/src/replication/replicator.hpp
+++ b/src/replication/replicator.hpp
@@ -133,7 +133,8 @@
     void receive(link_id from, pull const& it, core::instant now, actions& out);
 
     void ask_reader(reader_event const& event, core::instant now, actions& out);
-    void apply(change_set const& it, actions& out);
+    // False where the set could not be merged whole.
+    bool apply(change_set const& it, actions& out);
     void confirm(core::instant when, core::instant now, actions& out);
     // Sends what each peer lacks, or that what it holds has been confirmed.
     void tell_peers(std::optional<link_id> except, core::instant now,
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -59,8 +59,8 @@
         return;
     }
     after_ = *first_page_;
-    out.emplace_back(
-        take_changes{{core::revision(), after_, std::exchange(pages_, {})}});
+    out.emplace_back(take_changes{
+        {core::revision(), after_, std::exchange(pages_, {}), {}}});
     first_page_.reset();
     call(out);
 }
@@ -75,7 +75,7 @@
         call(out);
         return;
     }
-    out.emplace_back(take_changes{{base, it.as_of, it.items}});
+    out.emplace_back(take_changes{{base, it.as_of, it.items, {}}});
     wake_at_ = now + settings_.gather;
 }
 
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -65,7 +65,8 @@
         held(7, 30),
         changes{{core::revision(3),
                  core::revision(9),
-                 {written("a", 9), {"b", "", core::revision(8), true}}},
+                 {written("a", 9), {"b", "", core::revision(8), true}},
+                 {{"c", core::revision(7), core::revision(5), "frame"}}},
                 milliseconds(4)},
         pull{core::revision(2)}};
     for (auto const& it : messages)
@@ -92,7 +93,7 @@
         it.handle(message_received{one, held(9, 30)}, at(10)));
     REQUIRE(std::holds_alternative<pull>(asked.front().content));
     changes const whole{
-        {core::revision(), core::revision(9), {written("a", 9)}},
+        {core::revision(), core::revision(9), {written("a", 9)}, {}},
         milliseconds(20)};
     auto const taken = it.handle(message_received{one, whole}, at(15));
     REQUIRE(all<take_items>(taken).front().items.size() == 1);
@@ -108,7 +109,7 @@
     it.handle(duty_assigned{false}, at(0));
     it.handle(link_opened{one}, at(5));
     changes const whole{
-        {core::revision(), core::revision(9), {written("a", 9)}},
+        {core::revision(), core::revision(9), {written("a", 9)}, {}},
         milliseconds(0)};
     it.handle(message_received{one, whole}, at(10));
     it.handle(message_received{one, held(9, 0)}, at(1'000));
