--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -1,5 +1,6 @@
 // Tests of nodes that keep their copies of the store current: one by
 // hand-written events, and fleets on a simulated network.
+#include <algorithm>
 #include <deque>
 #include <functional>
 
@@ -187,6 +188,7 @@
             store_cut_.push_back(false);
             watches_.emplace_back();
             newest_.push_back(0);
+            taken_.emplace_back();
         }
         write();
         for (std::size_t i = 0; i < nodes_.size(); ++i)
@@ -207,10 +209,15 @@
     void write()
     {
         ++revision_;
-        auto const it =
+        auto it =
             written(std::string(1, static_cast<char>('a' + random_.below(4))),
                     revision_);
+        if (is_large(it.key))
+        {
+            it.value.append(large_size, 'x');
+        }
         history_.push_back(it);
+        newest_items_[it.key] = it.value;
         for (std::size_t i = 0; i < nodes_.size(); ++i)
         {
             answer_watch(i, false);
@@ -240,8 +247,17 @@
         return nodes_[node].state().as_of().value();
     }
     std::uint64_t calls() const { return calls_; }
+    // Whether the node has been given the newest value of each key.
+    bool is_current(std::size_t node) const
+    {
+        return taken_[node] == newest_items_;
+    }
 
 private:
+    static constexpr std::size_t large_size = 10'000;
+    // One of the keys has values that pass as patches.
+    static bool is_large(std::string const& key) { return key == "a"; }
+
     using work = std::function<void()>;
 
     void later(milliseconds delay, work it)
@@ -328,7 +344,13 @@
             }
         });
     }
-    void act(std::size_t, take_items const&) {}
+    void act(std::size_t node, take_items const& it)
+    {
+        for (auto const& i : it.items)
+        {
+            taken_[node][i.key] = i.value;
+        }
+    }
     void act(std::size_t, report_lost const&) {}
     void act(std::size_t, report_regained const&) {}
 
@@ -374,6 +396,9 @@
     std::multimap<core::instant, work> events_;
     std::set<std::pair<std::size_t, core::instant>> woken_;
     std::vector<item> history_;
+    std::map<std::string, std::string> newest_items_;
+    // What each node has been given.
+    std::vector<std::map<std::string, std::string>> taken_;
     std::uint64_t revision_ = 0;
     std::uint64_t last_link_ = 0;
     std::uint64_t watch_serial_ = 0;
@@ -394,6 +419,7 @@
         for (std::size_t i = 0; i < f.size(); ++i)
         {
             RC_ASSERT(f.held(i) == f.revision());
+            RC_ASSERT(f.is_current(i));
         }
     });
 }
@@ -442,8 +468,14 @@
     }
     // Six readers, at most one call in 150 ms each.
     REQUIRE(f.calls() - before <= 6UL * (5'000 / 150 + 1));
+    f.run_until(11'000);
+    for (std::size_t i = 0; i < f.size(); ++i)
+    {
+        REQUIRE(f.is_current(i));
+    }
+    f.run_until(14'000);
     auto const calm = f.calls();
-    f.run_until(20'000);
+    f.run_until(24'000);
     // At rest each data centre makes two calls a second.
     REQUIRE(f.calls() - calm <= 6UL * 10 + 6);
 }
