Balancing: Draw candidates of the own data centre apart

Cause: in a service of 39 workers a call looks at eight drawn from all data centres. Two thirds of them lie elsewhere, so a free worker nearby is missed for two calls in five, and answers cross data centres.

Change: up to eight candidates of the own data centre and four of others.

--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -155,6 +155,31 @@
     REQUIRE(f.spread(among, 0).at("y") == 200);
 }
 
+// Pattern "large service over several data centres": 39 workers, a third of
+// them near, and few of those free. A draw over all of them misses the free
+// ones for two calls in five.
+TEST_CASE("a free worker of the own data centre is found in a large service")
+{
+    fixture f;
+    std::vector<upstream> among;
+    for (int i = 0; i < 39; ++i)
+    {
+        auto const id = "w" + std::to_string(i);
+        among.push_back(make_upstream(id.c_str(), i < 13 ? "a" : "b"));
+        if (i >= 4)
+        {
+            f.scores->reported(core::upstream_id(id), full(300), at(0));
+        }
+    }
+    auto const got = f.spread(among, 0);
+    int free = 0;
+    for (auto const& [id, n] : got)
+    {
+        free += id.size() == 2 && id < "w4" ? n : 0;
+    }
+    REQUIRE(free >= 190);
+}
+
 // Pattern "grey worker": each call that it turns away costs retry budget.
 TEST_CASE("a worker that turns many calls away is left out")
 {
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -190,33 +190,49 @@
     return 2 * well.size() >= all.size() ? well : all;
 }
 
+std::vector<upstream const*>
+upstream_scores::draw_candidates(std::vector<upstream const*> from,
+                                 core::random_source& random) const
+{
+    auto const far =
+        std::partition(from.begin(), from.end(), [&](upstream const* it) {
+            return it->data_centre == settings_.own;
+        });
+    std::vector<upstream const*> out;
+    auto const draw = [&](auto first, auto last, std::size_t most) {
+        auto left = static_cast<std::size_t>(last - first);
+        for (; most > 0 && left > 0; --most, --left, ++first)
+        {
+            std::iter_swap(first,
+                           first + static_cast<long>(random.below(left)));
+            out.push_back(*first);
+        }
+    };
+    draw(from.begin(), far, settings_.near_candidates);
+    draw(far, from.end(), settings_.far_candidates);
+    return out;
+}
+
 choice upstream_scores::choose(std::vector<upstream> const& among,
                                std::set<core::upstream_id> const& tried,
                                demand const& what, core::instant now,
                                core::random_source& random)
 {
-    auto candidates = usable(among, tried, now);
+    auto const candidates = draw_candidates(usable(among, tried, now), random);
     if (candidates.empty())
     {
         return none_known{};
     }
-    // A partial shuffle draws the candidates of a large service.
-    auto const n = std::min(candidates.size(), settings_.candidates);
-    for (std::size_t i = 0; i < n && n < candidates.size(); ++i)
-    {
-        std::swap(candidates[i],
-                  candidates[i + random.below(candidates.size() - i)]);
-    }
     upstream const* best = nullptr;
     double best_score = 0;
-    for (std::size_t i = 0; i < n; ++i)
+    for (auto const* it : candidates)
     {
-        auto const expected = expected_answer(*candidates[i], what, now);
+        auto const expected = expected_answer(*it, what, now);
         auto const score = static_cast<double>(expected.count()) *
                            (1 + spread * random.unit());
         if (best == nullptr || score < best_score)
         {
-            best = candidates[i];
+            best = it;
             best_score = score;
         }
     }
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -77,8 +77,11 @@
     // An entry of a worker that has ended goes after this.
     core::milliseconds gone_ejection{6'000};
     std::uint32_t failures_to_eject = 2;
-    // Workers looked at for one call; bounds the cost in large services.
-    std::size_t candidates = 8;
+    // Workers looked at for one call in the own data centre and in others;
+    // bounds the cost in large services. Most calls stay in the own one, so
+    // that the choice there decides how long they wait.
+    std::size_t near_candidates = 8;
+    std::size_t far_candidates = 4;
 };
 
 // Results of a choice.
@@ -144,6 +147,10 @@
 
     core::duration expected_answer(upstream const& it, demand const& what,
                                    core::instant now) const;
+    // At most the numbers of the settings, drawn at random.
+    std::vector<upstream const*>
+    draw_candidates(std::vector<upstream const*> from,
+                    core::random_source& random) const;
     std::vector<upstream const*>
     usable(std::vector<upstream> const& among,
            std::set<core::upstream_id> const& tried, core::instant now) const;
