Balancing: Leave a full worker at once where another seems free

Cause: reports of loads are old on a fleet of 77 nodes, since a worker tells its load only to nodes that have offered it calls lately. Nodes crowd at workers that were free, and calls wait there while other workers are idle.

Change: an offer says whether the caller's node knows another candidate with a free slot; the owner then refuses it at once in place of queueing it, and its fresh load goes back with the refusal. At most twice a call; the worker that refused stays a candidate for the last offer. The log says why a caller's request ended when the caller left, and how long an answered call ran.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -131,6 +131,12 @@
     }
     queued newcomer{job, expected(job.route), !job.awaits_body};
     auto const wait = wait_behind(precedence_of(newcomer, now), now);
+    if (wait > core::duration::zero() && job.has_alternative)
+    {
+        out.emplace_back(
+            refuse{job.call, core::error_kind::overloaded, room_in(now)});
+        return;
+    }
     if (wait > core::duration::zero() &&
         now + wait + newcomer.expected > job.deadline)
     {
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -29,6 +29,8 @@
     core::rank rank;
     // Made by a worker for a request that it runs.
     bool nested = false;
+    // Refused unless a slot is free.
+    bool has_alternative = false;
     // The final answer is due.
     core::instant deadline;
     // An answer by then is worth most.
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -109,6 +109,21 @@
     REQUIRE(started(f.end(1, 50)) == numbers{3});
 }
 
+// Pattern "stale reports of many nodes": a call that has a free worker
+// elsewhere does not wait here.
+TEST_CASE("a call with an alternative waits for no slot")
+{
+    fixture f(1);
+    auto job = make_job(1, 0);
+    job.has_alternative = true;
+    REQUIRE(started(f.queue->handle(offered{job}, at(0))) == numbers{1});
+    job.call = call(2);
+    auto const refused = refusals(f.queue->handle(offered{job}, at(0)));
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused.front().kind == core::error_kind::overloaded);
+    REQUIRE(f.queue->waiting() == 0);
+}
+
 // Pattern "callers hold slots while their calls wait": a new request that goes
 // before the call of a running one leaves the running one's slot idle.
 TEST_CASE("calls of running requests go before new requests")
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -122,6 +122,25 @@
 }
 
 // Pattern "stale report": a queue that was long some time ago has drained.
+TEST_CASE("a choice tells whether another worker seems free")
+{
+    fixture f;
+    std::vector<upstream> const among{make_upstream("x"), make_upstream("y"),
+                                      make_upstream("z")};
+    auto const has_alternative = [&] {
+        auto const it = f.scores->choose(among, {}, {}, at(0), f.random);
+        return std::get<chosen>(it).has_alternative;
+    };
+    REQUIRE(has_alternative());
+    f.scores->reported(core::upstream_id("x"), full(300), at(0));
+    REQUIRE(has_alternative());
+    f.scores->reported(core::upstream_id("y"), full(300), at(0));
+    // The free one is chosen, and no other is.
+    REQUIRE_FALSE(has_alternative());
+    f.scores->reported(core::upstream_id("z"), full(300), at(0));
+    REQUIRE_FALSE(has_alternative());
+}
+
 TEST_CASE("a reported wait passes with time")
 {
     fixture f;
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -128,22 +128,23 @@
     return found != records_.end() && found->second.ejected_until > now;
 }
 
-core::duration upstream_scores::expected_answer(upstream const& it,
-                                                demand const& what,
-                                                core::instant now) const
+upstream_scores::estimate upstream_scores::estimated(upstream const& it,
+                                                     demand const& what,
+                                                     core::instant now) const
 {
-    core::duration out{};
+    estimate out;
     if (it.data_centre != settings_.own)
     {
-        out += settings_.crossing +
-               settings_.crossing_per_kb *
-                   static_cast<long>(what.body.value() / 1024);
+        out.answer += settings_.crossing +
+                      settings_.crossing_per_kb *
+                          static_cast<long>(what.body.value() / 1024);
     }
     auto const run = usual_run_ms(what.route);
     auto const found = records_.find(it.id);
     if (found == records_.end())
     {
-        return out + from_ms(run);
+        out.answer += from_ms(run);
+        return out;
     }
     auto const& known = found->second;
     auto const& load = known.load;
@@ -155,13 +156,13 @@
     {
         auto const reported = what.nested ? load.wait_first : load.wait_last;
         auto const left = reported - (now - known.reported_at);
-        out += std::max<core::duration>(left, core::duration::zero());
-        out += from_ms(run_here * (unseen + 0.5) / slots);
+        out.wait = std::max<core::duration>(left, core::duration::zero()) +
+                   from_ms(run_here * (unseen + 0.5) / slots);
     }
-    out += from_ms(run_here);
+    out.answer += out.wait + from_ms(run_here);
     if (load.rejecting > rejecting_much)
     {
-        out += rejection_cost;
+        out.answer += rejection_cost;
     }
     return out;
 }
@@ -225,18 +226,23 @@
     }
     upstream const* best = nullptr;
     double best_score = 0;
+    std::size_t free = 0;
+    bool best_is_free = false;
     for (auto const* it : candidates)
     {
-        auto const expected = expected_answer(*it, what, now);
-        auto const score = static_cast<double>(expected.count()) *
+        auto const expected = estimated(*it, what, now);
+        bool const is_free = expected.wait == core::duration::zero();
+        free += is_free ? 1 : 0;
+        auto const score = static_cast<double>(expected.answer.count()) *
                            (1 + spread * random.unit());
         if (best == nullptr || score < best_score)
         {
             best = it;
             best_score = score;
+            best_is_free = is_free;
         }
     }
-    return chosen{best};
+    return chosen{best, free > (best_is_free ? 1U : 0U)};
 }
 
 } // namespace yuccafall::balancing
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -89,6 +89,8 @@
 {
     // Invariant: points into the list that was given.
     upstream const* to;
+    // Another candidate is believed to have a free slot.
+    bool has_alternative = false;
 };
 struct none_known
 {};
@@ -145,8 +147,14 @@
         core::instant ejected_until{};
     };
 
-    core::duration expected_answer(upstream const& it, demand const& what,
-                                   core::instant now) const;
+    // Time until the call gets a slot there, and until it has run.
+    struct estimate
+    {
+        core::duration wait{};
+        core::duration answer{};
+    };
+    estimate estimated(upstream const& it, demand const& what,
+                       core::instant now) const;
     // At most the numbers of the settings, drawn at random.
     std::vector<upstream const*>
     draw_candidates(std::vector<upstream const*> from,
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -138,19 +138,23 @@
     auto const found =
         in_->scores_.choose(*upstreams_, tried_, what, now, in_->random_);
     std::visit(
-        core::overloaded{
-            [&](balancing::chosen const& it) { send_offer(*it.to); },
-            [&](balancing::none_known const&) {
-                refuse({error_kind::no_upstream, "no further worker is listed"},
-                       retry_after_);
-            }},
+        core::overloaded{[&](balancing::chosen const& it) { send_offer(it); },
+                         [&](balancing::none_known const&) {
+                             refuse({error_kind::no_upstream,
+                                     "no further worker is listed"},
+                                    retry_after_);
+                         }},
         found);
 }
 
-void call::send_offer(balancing::upstream const& to)
+void call::send_offer(balancing::chosen const& choice)
 {
     auto const now = core::boot_clock::now();
+    auto const& to = *choice.to;
     upstream_ = &to;
+    had_alternative_ = choice.has_alternative &&
+                       offers_for_free_slot_ < most_offers_for_free_slot;
+    offers_for_free_slot_ += had_alternative_ ? 1 : 0;
     tried_.insert(to.id);
     attempt_ = core::call_id{in_->incarnation_, ++in_->last_call_};
     bool const is_long = message_.body.size() > long_body;
@@ -168,6 +172,7 @@
     it.aim_remaining = whole_milliseconds(aim_ - now);
     it.origin = in_->settings_.service;
     it.repeated = may_have_run_;
+    it.has_alternative = had_alternative_;
     it.body_follows = is_long;
     body_sent_ = !is_long;
     it.message.method = message_.method;
@@ -203,7 +208,8 @@
 void call::on(peers::refused const& it)
 {
     in_->scores_.reported(upstream_->id, it.load, core::boot_clock::now());
-    attempt_ended(attempt_refused{it.kind, it.retry_after, it.reached_worker},
+    attempt_ended(attempt_refused{it.kind, it.retry_after, it.reached_worker,
+                                  had_alternative_},
                   seen_by_refusal(it.kind));
 }
 
@@ -212,7 +218,7 @@
     in_->scores_.reported(upstream_->id, it.load, core::boot_clock::now());
     in_->scores_.ran(upstream_->id, route_->name, it.ran_for);
     leave_attempt(balancing::outcome::answered);
-    answer(std::move(it.message));
+    answer(std::move(it.message), it.ran_for);
 }
 
 void call::on(peers::failed const& it)
@@ -265,23 +271,36 @@
         may_have_run_ =
             may_have_run_ || !std::holds_alternative<attempt_refused>(how);
     }
-    else
-    {
-        ++redirects_;
-    }
-    if (auto const* it = std::get_if<attempt_refused>(&how))
-    {
-        retry_after_ = retry_after_.count() == 0
-                           ? it->retry_after
-                           : std::min(retry_after_, it->retry_after);
-    }
     auto const step = decide(progress(core::boot_clock::now()), how);
+    note_retry_after(how, step);
     std::visit([&](auto const& it) { act(it, how); }, step);
 }
 
+// The earliest return that any refusal has named, but for offers that were to
+// be refused unless a slot was free: those say nothing of the queues.
+void call::note_retry_after(attempt_end const& how, next_step const& step)
+{
+    auto const* refused = std::get_if<attempt_refused>(&how);
+    auto const* again = std::get_if<try_another>(&step);
+    if (refused == nullptr || (again != nullptr && again->may_return))
+    {
+        return;
+    }
+    retry_after_ = retry_after_.count() == 0
+                       ? refused->retry_after
+                       : std::min(retry_after_, refused->retry_after);
+}
+
 void call::act(try_another const& it, attempt_end const& how)
 {
     auto const now = core::boot_clock::now();
+    if (it.may_return)
+    {
+        tried_.erase(upstream_->id);
+        try_next();
+        return;
+    }
+    redirects_ += it.counts ? 0 : 1;
     if (it.counts && !in_->budget_.take(service_, now))
     {
         core::add(in_->counts_->retries_denied);
@@ -347,6 +366,17 @@
         return;
     }
     core::add(in_->counts_->callers_left);
+    if (core::admit_request_line(core::request_event::exceptional))
+    {
+        core::log_event(
+            core::log_level::info, "caller_left",
+            {{"request", request_.value()},
+             {"route", route_->name.value()},
+             {"upstream", upstream_ == nullptr ? "" : upstream_->id.value()},
+             {"attempt_open", attempt_.has_value()},
+             {"took_ms",
+              whole_milliseconds(core::boot_clock::now() - arrived_).count()}});
+    }
     if (attempt_)
     {
         in_->links_->send(path_, peers::cancel{*attempt_});
@@ -355,7 +385,7 @@
     finish();
 }
 
-void call::answer(http::response it)
+void call::answer(http::response it, core::milliseconds ran_for)
 {
     if (std::exchange(finished_, true))
     {
@@ -371,7 +401,10 @@
                          {"route", route_->name.value()},
                          {"upstream", upstream_->id.value()},
                          {"status", it.status},
-                         {"took_ms", took.count()}});
+                         {"took_ms", took.count()},
+                         {"ran_ms", ran_for.count()},
+                         {"offers_for_free_slot", offers_for_free_slot_},
+                         {"redirects", redirects_}});
     }
     http::strip_connection_headers(it.headers);
     it.keep_alive = true;
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -29,7 +29,7 @@
     core::result<void> prepare();
     bool is_poisoned() const;
     void try_next();
-    void send_offer(balancing::upstream const& to);
+    void send_offer(balancing::chosen const& it);
     void received(peers::message it);
     void on(peers::body_wanted const& it);
     void on(peers::refused const& it);
@@ -42,6 +42,7 @@
 
     // The attempt in hand is over without an answer.
     void attempt_ended(attempt_end const& how, balancing::outcome seen);
+    void note_retry_after(attempt_end const& how, next_step const& step);
     void act(try_another const& it, attempt_end const& how);
     void act(give_up const& it, attempt_end const& how);
     void leave_attempt(balancing::outcome seen);
@@ -50,7 +51,7 @@
     void watch_deadline();
     void deadline_passed();
     void caller_left();
-    void answer(http::response it);
+    void answer(http::response it, core::milliseconds ran_for);
     void refuse(core::error const& why, core::milliseconds retry_after);
     void finish();
 
@@ -74,6 +75,7 @@
     std::set<core::upstream_id> tried_;
     std::uint32_t workers_reached_ = 0;
     std::uint32_t redirects_ = 0;
+    std::uint32_t offers_for_free_slot_ = 0;
     core::milliseconds retry_after_{0};
     bool may_have_run_ = false;
 
@@ -81,6 +83,7 @@
     std::optional<core::call_id> attempt_;
     balancing::upstream const* upstream_ = nullptr;
     peers::route_to_node path_;
+    bool had_alternative_ = false;
     // False while the other node lacks the body and so cannot run the call.
     bool body_sent_ = false;
     bool finished_ = false;
--- a/src/ingress/next_step.cpp
+++ b/src/ingress/next_step.cpp
@@ -28,6 +28,11 @@
     {
         return end;
     }
+    if (how.had_alternative && how.kind == core::error_kind::overloaded &&
+        !how.reached_worker)
+    {
+        return try_another{false, true};
+    }
     if (how.reached_worker)
     {
         return workers_are_left(call) ? next_step(try_another{true}) : end;
--- a/src/ingress/next_step.hpp
+++ b/src/ingress/next_step.hpp
@@ -18,6 +18,8 @@
     core::error_kind kind;
     core::milliseconds retry_after{0};
     bool reached_worker = false;
+    // The call was to be refused unless a slot was free.
+    bool had_alternative = false;
 };
 // The worker was asked, and what it did is not known.
 struct attempt_failed
@@ -39,7 +41,7 @@
     core::attempt_count most_attempts{1};
     // Workers that were asked, whatever they answered.
     std::uint32_t workers_reached = 0;
-    // Offers that ended before a worker was asked.
+    // Offers to another upstream after one that reached no worker.
     std::uint32_t redirects = 0;
     core::milliseconds remaining{0};
     // Time that an answer may take where everything is well.
@@ -53,6 +55,8 @@
 {
     // Sending it on counts against the retry budget.
     bool counts = false;
+    // The upstream that refused may be chosen again, then to wait there.
+    bool may_return = false;
 };
 struct give_up
 {
@@ -62,9 +66,13 @@
 };
 using next_step = std::variant<try_another, give_up>;
 
-// Offers to further nodes of one call that has reached no worker. Each costs a
-// way there and back; two show whether there is room anywhere.
-inline constexpr std::uint32_t most_redirects = 2;
+// Offers that a call which has reached no worker gets after its first refusal.
+// Each costs a way there and back; one more shows whether there is room.
+inline constexpr std::uint32_t most_redirects = 1;
+
+// Offers of one call that are to be refused unless a slot is free. Each costs a
+// way there and back, which is far less than a wait in a queue.
+inline constexpr std::uint32_t most_offers_for_free_slot = 2;
 
 next_step decide(call_progress const& call, attempt_end const& how);
 
--- a/src/ingress/tests/next_step_test.cpp
+++ b/src/ingress/tests/next_step_test.cpp
@@ -48,6 +48,25 @@
     REQUIRE_FALSE(repeats(idempotent, failed));
 }
 
+// Pattern "stale reports of many nodes": a full worker is left for a free one,
+// and is a candidate again if there is none.
+TEST_CASE("a refusal for want of a free slot uses up no redirect")
+{
+    auto call = make_progress(repeatability::upload);
+    call.redirects = most_redirects;
+    attempt_refused full{error_kind::overloaded, milliseconds(50), false, true};
+    auto const step = decide(call, full);
+    REQUIRE(std::get<try_another>(step).may_return);
+    REQUIRE_FALSE(std::get<try_another>(step).counts);
+    // A worker that leaves is no candidate again.
+    full.kind = error_kind::leaving;
+    REQUIRE_FALSE(repeats(call, full));
+    // Nor is one that was asked and turned the call away.
+    full.kind = error_kind::overloaded;
+    full.reached_worker = true;
+    REQUIRE_FALSE(std::get<try_another>(decide(call, full)).may_return);
+}
+
 TEST_CASE("a call that did not run goes elsewhere whatever its kind")
 {
     auto call = make_progress(repeatability::upload);
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -134,7 +134,7 @@
 
 void write(frame_writer& to, offer const& it)
 {
-    head(to, wire_kind::offer, 16);
+    head(to, wire_kind::offer, 17);
     put(to, it.call);
     to.text(it.upstream.value());
     to.text(it.request.value());
@@ -146,6 +146,7 @@
     put(to, it.aim_remaining);
     to.text(it.origin.value());
     to.flag(it.repeated);
+    to.flag(it.has_alternative);
     to.flag(it.body_follows);
     to.text(it.message.method);
     to.text(it.message.target);
@@ -234,6 +235,7 @@
     it.aim_remaining = take_ms(from);
     it.origin = core::service_name(from.text());
     it.repeated = from.flag();
+    it.has_alternative = from.flag();
     it.body_follows = from.flag();
     it.message.method = from.text();
     it.message.target = from.text();
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -35,6 +35,9 @@
     core::service_name origin;
     // Whether the call may have been sent to a worker before.
     bool repeated = false;
+    // Another worker is believed to have a free slot: better refused at once
+    // than queued.
+    bool has_alternative = false;
     // The body follows once it has been asked for.
     bool body_follows = false;
     // Without the fields of the caller's connection.
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -41,6 +41,7 @@
     it.aim_remaining = core::milliseconds(400);
     it.origin = core::service_name("s");
     it.repeated = true;
+    it.has_alternative = true;
     it.message.method = "POST";
     it.message.target = "/x";
     it.message.headers = {{"Host", "h"}};
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -93,6 +93,7 @@
     job.route = call.offer.route;
     job.rank = call.offer.rank;
     job.nested = call.offer.nested;
+    job.has_alternative = call.offer.has_alternative;
     job.deadline = call.deadline;
     job.aim = now + call.offer.aim_remaining;
     job.awaits_body = call.offer.body_follows;
@@ -291,7 +292,11 @@
                    core::milliseconds retry_after, bool reached_worker)
 {
     core::add(counts_->refused);
-    if (core::admit_request_line(core::request_event::exceptional))
+    // A call that only asked for a free slot goes on to another worker.
+    auto const kind_of_event = it.offer.has_alternative
+                                   ? core::request_event::ordinary
+                                   : core::request_event::exceptional;
+    if (core::admit_request_line(kind_of_event))
     {
         core::log_event(core::log_level::info, "call_refused",
                         {{"request", it.offer.request.value()},
