Admission: Pace long bodies by the link of the VM

Change: the owner asks for the bodies of accepted calls as fast as the link of its VM carries them (a new setting, from the platform's limits), counts the time that bodies take when it decides who is refused, and reports it, so that other nodes take uploads elsewhere.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -117,8 +117,9 @@
     {
         out.emplace_back(
             refuse{late[i].second, core::error_kind::overloaded, room_in(now)});
-        waiting_.erase(late[i].second);
+        forget(late[i].second);
     }
+    ask_for_bodies(now, out);
 }
 
 void slot_queue::on(offered const& it, core::instant now, actions& out)
@@ -130,22 +131,23 @@
         return;
     }
     queued newcomer{job, expected(job.route), !job.awaits_body};
-    auto const wait = wait_behind(precedence_of(newcomer, now), now);
+    auto const wait = std::max(wait_behind(precedence_of(newcomer, now), now),
+                               wait_for_body(newcomer, now));
     if (wait > core::duration::zero() && job.has_alternative)
     {
         out.emplace_back(
             refuse{job.call, core::error_kind::overloaded, room_in(now)});
         return;
     }
-    if (wait > core::duration::zero() &&
-        now + wait + newcomer.expected > job.deadline)
+    auto const ends =
+        now + wait + intake_.time_for(job.body) + newcomer.expected;
+    if (wait > core::duration::zero() && ends > job.deadline)
     {
         out.emplace_back(
             refuse{job.call, core::error_kind::overloaded, room_in(now)});
         return;
     }
-    bool const late = wait > core::duration::zero() &&
-                      now + wait + newcomer.expected > job.aim;
+    bool const late = wait > core::duration::zero() && ends > job.aim;
     if (late && !job.nested && waiting_.size() >= late_limit())
     {
         out.emplace_back(
@@ -153,27 +155,86 @@
         return;
     }
     waiting_.emplace(job.call, std::move(newcomer));
-    if (job.awaits_body)
-    {
-        out.emplace_back(ask_for_body{job.call});
-    }
+    ask_for_bodies(now, out);
     start_waiting(now, out);
     trim_late(now, out);
 }
 
+core::milliseconds slot_queue::wait_for_bodies() const
+{
+    auto bytes = intake_.on_the_way().value();
+    for (auto const& [call, it] : waiting_)
+    {
+        bytes += it.ready || it.body_asked ? 0 : it.job.body.value();
+    }
+    return whole_milliseconds(intake_.time_for(core::byte_count(bytes)));
+}
+
+core::duration slot_queue::wait_for_body(queued const& newcomer,
+                                         core::instant now) const
+{
+    if (newcomer.ready)
+    {
+        return {};
+    }
+    auto const place = precedence_of(newcomer, now);
+    auto bytes = intake_.on_the_way().value();
+    for (auto const& [call, it] : waiting_)
+    {
+        bool const is_ahead =
+            !it.ready && !it.body_asked && !(place < precedence_of(it, now));
+        bytes += is_ahead ? it.job.body.value() : 0;
+    }
+    return intake_.time_for(core::byte_count(bytes));
+}
+
+void slot_queue::ask_for_bodies(core::instant now, actions& out)
+{
+    while (intake_.has_room())
+    {
+        auto best = waiting_.end();
+        for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
+        {
+            bool const is_open = !it->second.ready && !it->second.body_asked;
+            if (is_open && (best == waiting_.end() ||
+                            precedence_of(it->second, now) <
+                                precedence_of(best->second, now)))
+            {
+                best = it;
+            }
+        }
+        if (best == waiting_.end())
+        {
+            return;
+        }
+        best->second.body_asked = true;
+        intake_.asked(best->first, best->second.job.body);
+        out.emplace_back(ask_for_body{best->first});
+    }
+}
+
+void slot_queue::forget(core::call_id const& call)
+{
+    waiting_.erase(call);
+    intake_.done(call);
+}
+
 void slot_queue::on(body_arrived const& it, core::instant now, actions& out)
 {
+    intake_.done(it.call);
     auto const found = waiting_.find(it.call);
     if (found != waiting_.end())
     {
         found->second.ready = true;
         start_waiting(now, out);
     }
+    ask_for_bodies(now, out);
 }
 
-void slot_queue::on(cancelled const& it, core::instant, actions&)
+void slot_queue::on(cancelled const& it, core::instant now, actions& out)
 {
-    waiting_.erase(it.call);
+    forget(it.call);
+    ask_for_bodies(now, out);
 }
 
 void slot_queue::on(run_ended const& it, core::instant now, actions& out)
@@ -225,6 +286,7 @@
         foreign_ = 0;
     }
     drop_hopeless(now, out);
+    ask_for_bodies(now, out);
     start_waiting(now, out);
     trim_late(now, out);
 }
@@ -235,6 +297,7 @@
     for (auto const& [call, it] : waiting_)
     {
         out.emplace_back(refuse{call, core::error_kind::leaving, {}});
+        intake_.done(call);
     }
     waiting_.clear();
 }
@@ -254,6 +317,7 @@
         {
             out.emplace_back(
                 refuse{it->first, core::error_kind::expired, room_in(now)});
+            intake_.done(it->first);
             it = waiting_.erase(it);
             continue;
         }
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/body_intake.hpp"
 #include "admission/service_times.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
@@ -38,6 +39,7 @@
     // The body is still at the other node and is asked for once the call is
     // accepted.
     bool awaits_body = false;
+    core::byte_count body;
 };
 
 // Events.
@@ -117,6 +119,7 @@
 struct queue_settings
 {
     core::slot_count slots{1};
+    intake_settings intake;
     // Calls that cannot be answered within their aim any more but may wait for
     // a slot, as a share of the slots.
     core::percentage late_waiting{50};
@@ -129,7 +132,9 @@
 class slot_queue
 {
 public:
-    explicit slot_queue(queue_settings settings) : settings_(settings) {}
+    explicit slot_queue(queue_settings settings)
+        : settings_(settings), intake_(settings.intake)
+    {}
 
     std::vector<action> handle(event const& it, core::instant now);
 
@@ -143,6 +148,9 @@
     // wait, and for one that goes after them.
     core::milliseconds wait_first(core::instant now) const;
     core::milliseconds wait_last(core::instant now) const;
+    // Expected time until all bodies that are awaited have arrived.
+    core::milliseconds wait_for_bodies() const;
+    core::bytes_per_second body_rate() const { return intake_.rate(); }
 
 private:
     using actions = std::vector<action>;
@@ -153,6 +161,7 @@
         core::duration expected;
         // Invariant: false while the body is awaited.
         bool ready = true;
+        bool body_asked = false;
     };
     struct active
     {
@@ -195,12 +204,18 @@
     // precedence; to everything that waits where there is none.
     core::duration wait_behind(std::optional<precedence> const& place,
                                core::instant now) const;
+    // Time until the body of a newcomer has arrived; zero where it has none.
+    core::duration wait_for_body(queued const& newcomer,
+                                 core::instant now) const;
+    void ask_for_bodies(core::instant now, actions& out);
+    void forget(core::call_id const& call);
     std::size_t late_limit() const;
     // Refuses late calls over the limit, the latest first.
     void trim_late(core::instant now, actions& out);
     core::milliseconds room_in(core::instant now) const;
 
     queue_settings settings_;
+    body_intake intake_;
     service_times times_;
     std::map<core::call_id, queued> waiting_;
     std::map<core::call_id, active> running_;
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -30,6 +30,7 @@
     bool nested = false;
     bool awaits_body = false;
     char const* route = "r";
+    std::uint64_t body = 0;
 };
 
 // Offers at `now` a call whose aim and deadline count from then.
@@ -43,16 +44,18 @@
     it.aim = at(now + terms.aim);
     it.deadline = at(now + terms.deadline);
     it.awaits_body = terms.awaits_body;
+    it.body = core::byte_count(terms.body);
     return it;
 }
 
 class fixture
 {
 public:
-    explicit fixture(std::uint32_t slots)
+    explicit fixture(std::uint32_t slots, core::bytes_per_second link = {})
     {
         queue_settings settings;
         settings.slots = core::slot_count(slots);
+        settings.intake.link = link;
         queue.emplace(settings);
     }
 
@@ -124,6 +127,55 @@
     REQUIRE(f.queue->waiting() == 0);
 }
 
+// Pattern "uploads over a narrow link": 60 kB take 75 ms of 7.7 Mbit/s, and
+// several at a time would hold up the short calls of other services.
+TEST_CASE("bodies are asked for as fast as the link carries them")
+{
+    fixture f(6, core::bytes_per_second(1'000'000));
+    job_terms upload;
+    upload.awaits_body = true;
+    upload.body = 60'000;
+    auto const asked = [](std::vector<action> const& actions) {
+        numbers out;
+        for (auto const& it : actions)
+        {
+            if (auto const* a = std::get_if<ask_for_body>(&it))
+            {
+                out.push_back(a->call.sequence);
+            }
+        }
+        return out;
+    };
+    REQUIRE(asked(f.offer(1, 0, upload)) == numbers{1});
+    REQUIRE(asked(f.offer(2, 0, upload)).empty());
+    REQUIRE(asked(f.offer(3, 0, upload)).empty());
+    REQUIRE(f.queue->wait_for_bodies() == milliseconds(225));
+    // A short call takes a slot meanwhile.
+    REQUIRE(started(f.offer(4, 1)) == numbers{4});
+    auto const next = f.queue->handle(body_arrived{call(1)}, at(75));
+    REQUIRE(started(next) == numbers{1});
+    REQUIRE(asked(next) == numbers{2});
+    // A caller that has left gives its place to the next.
+    REQUIRE(asked(f.queue->handle(cancelled{call(2)}, at(80))) == numbers{3});
+    REQUIRE(f.queue->wait_for_bodies() == milliseconds(75));
+}
+
+TEST_CASE("an upload whose body would come too late is refused at once")
+{
+    fixture f(6, core::bytes_per_second(1'000'000));
+    job_terms upload;
+    upload.awaits_body = true;
+    upload.body = 400'000;
+    upload.deadline = 900;
+    upload.aim = 800;
+    REQUIRE(refusals(f.offer(1, 0, upload)).empty());
+    REQUIRE(refusals(f.offer(2, 0, upload)).size() == 1);
+    // With a link that is not known nothing is assumed.
+    fixture unknown(6);
+    REQUIRE(refusals(unknown.offer(1, 0, upload)).empty());
+    REQUIRE(refusals(unknown.offer(2, 0, upload)).empty());
+}
+
 // Pattern "callers hold slots while their calls wait": a new request that goes
 // before the call of a running one leaves the running one's slot idle.
 TEST_CASE("calls of running requests go before new requests")
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -141,6 +141,25 @@
     REQUIRE_FALSE(has_alternative());
 }
 
+// Pattern "uploads over a narrow link": the link may be full while slots are
+// free.
+TEST_CASE("an upload goes where bodies arrive sooner")
+{
+    fixture f;
+    load_report narrow;
+    narrow.slots = core::slot_count(6);
+    narrow.wait_for_bodies = milliseconds(300);
+    narrow.body_rate = core::bytes_per_second(800'000);
+    f.scores->reported(core::upstream_id("x"), narrow, at(0));
+    std::vector<upstream> const among{make_upstream("x"), make_upstream("y")};
+    demand upload;
+    upload.body = core::byte_count(60'000);
+    upload.body_follows = true;
+    REQUIRE(f.spread(among, 0, upload).count("x") == 0);
+    // Short calls are not held up by bodies.
+    REQUIRE(f.spread(among, 0).at("x") > 60);
+}
+
 TEST_CASE("a reported wait passes with time")
 {
     fixture f;
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -159,6 +159,14 @@
         out.wait = std::max<core::duration>(left, core::duration::zero()) +
                    from_ms(run_here * (unseen + 0.5) / slots);
     }
+    if (what.body_follows && load.body_rate.value() > 0)
+    {
+        core::duration const left =
+            load.wait_for_bodies - (now - known.reported_at);
+        out.wait = std::max({out.wait, left, core::duration::zero()});
+        out.answer += from_ms(1000.0 * static_cast<double>(what.body.value()) /
+                              static_cast<double>(load.body_rate.value()));
+    }
     out.answer += out.wait + from_ms(run_here);
     if (load.rejecting > rejecting_much)
     {
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -39,6 +39,10 @@
     // and for one that goes after them.
     core::milliseconds wait_first{0};
     core::milliseconds wait_last{0};
+    // Until all bodies that are awaited there have arrived, and how fast bodies
+    // arrive; 0 where that is not known.
+    core::milliseconds wait_for_bodies{0};
+    core::bytes_per_second body_rate{0};
     // How long work takes now; 100 is as usual.
     core::percentage pace{100};
     // Share of the calls sent to the worker that it turned away lately.
@@ -100,6 +104,8 @@
 {
     core::route_name route;
     core::byte_count body;
+    // The body is sent once the call has been accepted.
+    bool body_follows = false;
     // Goes before other calls at the worker.
     bool nested = false;
 };
--- a/src/core/units.hpp
+++ b/src/core/units.hpp
@@ -15,6 +15,7 @@
 using queue_length = strong<struct queue_length_tag, std::uint32_t>;
 using node_count = strong<struct node_count_tag, std::uint64_t>;
 using byte_count = strong<struct byte_count_tag, std::uint64_t>;
+using bytes_per_second = strong<struct bytes_per_second_tag, std::uint64_t>;
 using weight = strong<struct weight_tag, std::uint32_t>;
 using attempt_count = strong<struct attempt_count_tag, std::uint32_t>;
 // 0 is the most urgent.
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -133,8 +133,9 @@
         return;
     }
     auto const now = core::boot_clock::now();
-    balancing::demand const what{
-        route_->name, core::byte_count(message_.body.size()), nested_};
+    balancing::demand const what{route_->name,
+                                 core::byte_count(message_.body.size()),
+                                 message_.body.size() > long_body, nested_};
     auto const found =
         in_->scores_.choose(*upstreams_, tried_, what, now, in_->random_);
     std::visit(
@@ -174,6 +175,7 @@
     it.repeated = may_have_run_;
     it.has_alternative = had_alternative_;
     it.body_follows = is_long;
+    it.body_size = core::byte_count(message_.body.size());
     body_sent_ = !is_long;
     it.message.method = message_.method;
     it.message.target = message_.target;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -161,6 +161,23 @@
     };
 }
 
+// Megabits a second, with or without a fraction.
+auto read_link(core::bytes_per_second& into)
+{
+    return [&into](std::string const& text) -> std::optional<std::string> {
+        constexpr double bytes_per_megabit = 125'000;
+        char* end = nullptr;
+        double const it = std::strtod(text.c_str(), &end);
+        if (text.empty() || *end != '\0' || !(it >= 0 && it <= 1e6))
+        {
+            return "megabits a second from 0 to 1000000";
+        }
+        into = core::bytes_per_second(
+            static_cast<std::uint64_t>(it * bytes_per_megabit));
+        return std::nullopt;
+    };
+}
+
 // Seconds, with or without a fraction.
 auto read_seconds(core::milliseconds& into)
 {
@@ -257,6 +274,7 @@
     core::byte_count memory_mb{into.memory.value() / unit};
     top.scalar("memory_mb", false, read_number(memory_mb, 16, 1'000'000));
     into.memory = core::byte_count(memory_mb.value() * unit);
+    top.scalar("link_mbps", false, read_link(into.link));
     top.reject_unknown();
 }
 
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -41,6 +41,8 @@
     // The platform ends the process above this; a part of it bounds the
     // requests that are held at a time.
     core::byte_count memory{260UL * 1024 * 1024};
+    // Of the VM's link; long bodies are paced by it. 0: not known.
+    core::bytes_per_second link{0};
 };
 
 // Every fault is part of the error's detail, one line each, with its line in
--- a/src/node/tests/settings_test.cpp
+++ b/src/node/tests/settings_test.cpp
@@ -27,6 +27,7 @@
   retry_slack: 9
   longest_drain_s: 4.5
 memory_mb: 100
+link_mbps: 7.6
 )";
 
 std::string with(std::string const& from, std::string const& to)
@@ -48,6 +49,7 @@
     REQUIRE(it->retries.ratio == core::percentage(25));
     REQUIRE(it->retries.slack == core::queue_length(9));
     REQUIRE(it->longest_drain == core::milliseconds(4'500));
+    REQUIRE(it->link == core::bytes_per_second(950'000));
     REQUIRE(it->memory == core::byte_count(100UL * 1024 * 1024));
 }
 
@@ -64,6 +66,7 @@
              {with("retry_share: 0.25", "retry_share: 3"), "from 0 to 1"},
              {with("retry_slack: 9", "retry_slack: -9"), "whole number"},
              {with("memory_mb", "memory_kb"), "unknown setting"},
+             {with("7.6", "fast"), "megabits a second"},
              {with("127.0.0.3:3", "x"), "\"seeds\""},
              {"[]", "mapping"},
              {"a: [", "line"}})
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -34,9 +34,6 @@
     return out;
 }
 
-// Calls of this node's own callers to its own worker.
-constexpr peers::session_number own_session{0};
-
 } // namespace
 
 traffic_plane::traffic_plane(node::settings settings,
@@ -56,8 +53,10 @@
 core::result<void> traffic_plane::start()
 {
     owner_ = std::make_shared<upstream::owner>(
-        context_, settings_.worker, dialect_, core::incarnation(random_seed()),
-        suspects_, owner_counts_);
+        context_,
+        upstream::owner_settings{settings_.worker, settings_.link,
+                                 core::incarnation(random_seed())},
+        dialect_, suspects_, owner_counts_);
     auto peers = peers::peer_server::listen(
         context_, settings_.traffic,
         {[owner = owner_](peers::session_number from, peers::message m,
@@ -75,7 +74,8 @@
     links_ = std::make_shared<peers::peer_links>(
         context_, settings_.traffic,
         [owner = owner_](peers::message m, peers::reply_function reply) {
-            owner->handle(own_session, std::move(m), std::move(reply));
+            owner->handle(upstream::own_session, std::move(m),
+                          std::move(reply));
         });
     ingress_ = std::make_shared<ingress::ingress>(
         context_, ingress_settings_of(settings_), dialect_, links_, counts_);
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -62,12 +62,14 @@
 
 void put(frame_writer& to, balancing::load_report const& it)
 {
-    to.array(7);
+    to.array(9);
     to.number(it.running.value());
     to.number(it.waiting.value());
     to.number(it.slots.value());
     put(to, it.wait_first);
     put(to, it.wait_last);
+    put(to, it.wait_for_bodies);
+    to.number(it.body_rate.value());
     to.number(it.pace.value());
     to.number(it.rejecting.value());
 }
@@ -115,6 +117,8 @@
     out.slots = take_small<core::slot_count>(it);
     out.wait_first = take_ms(it);
     out.wait_last = take_ms(it);
+    out.wait_for_bodies = take_ms(it);
+    out.body_rate = core::bytes_per_second(it.number());
     out.pace = take_small<core::percentage>(it);
     out.rejecting = take_small<core::percentage>(it);
     it.end();
@@ -134,7 +138,7 @@
 
 void write(frame_writer& to, offer const& it)
 {
-    head(to, wire_kind::offer, 17);
+    head(to, wire_kind::offer, 18);
     put(to, it.call);
     to.text(it.upstream.value());
     to.text(it.request.value());
@@ -148,6 +152,7 @@
     to.flag(it.repeated);
     to.flag(it.has_alternative);
     to.flag(it.body_follows);
+    to.number(it.body_size.value());
     to.text(it.message.method);
     to.text(it.message.target);
     put(to, it.message.headers);
@@ -237,6 +242,7 @@
     it.repeated = from.flag();
     it.has_alternative = from.flag();
     it.body_follows = from.flag();
+    it.body_size = core::byte_count(from.number());
     it.message.method = from.text();
     it.message.target = from.text();
     it.message.headers = take_headers(from);
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -40,6 +40,8 @@
     bool has_alternative = false;
     // The body follows once it has been asked for.
     bool body_follows = false;
+    // Of the whole body, in either case.
+    core::byte_count body_size;
     // Without the fields of the caller's connection.
     http::request message;
 };
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -22,6 +22,8 @@
     it.slots = core::slot_count(6);
     it.wait_first = core::milliseconds(5);
     it.wait_last = core::milliseconds(50);
+    it.wait_for_bodies = core::milliseconds(11);
+    it.body_rate = core::bytes_per_second(960'000);
     it.pace = core::percentage(120);
     it.rejecting = core::percentage(7);
     return it;
@@ -42,6 +44,7 @@
     it.origin = core::service_name("s");
     it.repeated = true;
     it.has_alternative = true;
+    it.body_size = core::byte_count(3);
     it.message.method = "POST";
     it.message.target = "/x";
     it.message.headers = {{"Host", "h"}};
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -37,15 +37,23 @@
     return std::chrono::duration_cast<core::milliseconds>(it);
 }
 
+admission::queue_settings queue_settings_of(owner_settings const& it)
+{
+    admission::queue_settings out;
+    out.intake.link = it.link;
+    return out;
+}
+
 } // namespace
 
-owner::owner(boost::asio::io_context& context, core::endpoint worker,
-             dialect::functions dialect, core::incarnation incarnation,
-             notice_handler suspects, std::shared_ptr<counters> counts)
+owner::owner(boost::asio::io_context& context, owner_settings const& settings,
+             dialect::functions dialect, notice_handler suspects,
+             std::shared_ptr<counters> counts)
     : timer_(context), dialect_(dialect),
-      leg_(std::make_shared<worker_leg>(context, std::move(worker), dialect)),
-      queue_({}), tell_timer_(context), crashes_(incarnation),
-      suspects_(std::move(suspects)), counts_(std::move(counts))
+      leg_(std::make_shared<worker_leg>(context, settings.worker, dialect)),
+      queue_(queue_settings_of(settings)), tell_timer_(context),
+      crashes_(settings.incarnation), suspects_(std::move(suspects)),
+      counts_(std::move(counts))
 {}
 
 void owner::handle(session_id from, peers::message message,
@@ -97,6 +105,10 @@
     job.deadline = call.deadline;
     job.aim = now + call.offer.aim_remaining;
     job.awaits_body = call.offer.body_follows;
+    if (call.offer.body_follows && from != own_session)
+    {
+        job.body = call.offer.body_size;
+    }
     keys_.emplace(std::pair(from, call.offer.call), id);
     calls_.emplace(id, std::move(call));
     feed(admission::offered{job});
@@ -471,6 +483,8 @@
     auto const now = core::boot_clock::now();
     it.wait_first = queue_.wait_first(now);
     it.wait_last = queue_.wait_last(now);
+    it.wait_for_bodies = queue_.wait_for_bodies();
+    it.body_rate = queue_.body_rate();
     it.pace = queue_.pace();
     it.rejecting =
         core::percentage(static_cast<std::uint32_t>(rejecting_ * 100));
--- a/src/upstream/owner.hpp
+++ b/src/upstream/owner.hpp
@@ -34,6 +34,17 @@
     bool draining = false;
 };
 
+struct owner_settings
+{
+    core::endpoint worker;
+    // Of the VM; 0 where it is not known.
+    core::bytes_per_second link{0};
+    core::incarnation incarnation;
+};
+
+// Calls of the node's own callers to its own worker, which cross no link.
+inline constexpr session_id own_session{0};
+
 // Invariant: used on one traffic thread.
 class owner : public std::enable_shared_from_this<owner>
 {
@@ -42,9 +53,9 @@
 
     // The handler is told of each request that ran in the worker when it
     // crashed.
-    owner(boost::asio::io_context& context, core::endpoint worker,
-          dialect::functions dialect, core::incarnation incarnation,
-          notice_handler suspects, std::shared_ptr<counters> counts);
+    owner(boost::asio::io_context& context, owner_settings const& settings,
+          dialect::functions dialect, notice_handler suspects,
+          std::shared_ptr<counters> counts);
 
     void handle(session_id from, peers::message message, reply_function reply);
     // The connection is gone: its calls are cancelled.
