Model: Play patterns of load on the real decisions, without a network

Change: yuccafall_bench model plays a pattern on a simulated clock, with the product's slot queue, choice, next step, patience and retry budget at each node, workers with speeds and noise, callers that come again, and links with a rate.

Nodes that fail, drains and the store are not in the model; it draws no plots.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,19 +1,32 @@
 // Runs one measure by its name.
 #include <algorithm>
+#include <string_view>
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
 #include "bench/measures.hpp"
+#include "bench/model/experiment.hpp"
 #include "stand_ins/child_process.hpp"
 
 DEFINE_uint64(seed, 1, "seed of the callers");
 DEFINE_uint64(nodes, 14, "VMs of the deployment");
 
+DEFINE_string(pattern, "", "model: pattern of load to play");
+DEFINE_string(without, "", "model: rule that is taken out");
+DEFINE_uint64(seeds, 1, "model: days to play; more than one compares");
+DEFINE_bool(by_second, false, "model: print figures for each second");
+
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     yuccafall::stand_ins::end_children_on_signal();
+    if (argc == 2 && std::string_view(argv[1]) == "model")
+    {
+        return yuccafall::bench::model::run_experiment(
+            {FLAGS_pattern, FLAGS_without, FLAGS_seed, FLAGS_seeds,
+             FLAGS_by_second});
+    }
     auto const& all = yuccafall::bench::all_measures();
     auto const found =
         std::find_if(all.begin(), all.end(), [&](auto const& it) {
@@ -22,7 +35,9 @@
     if (found == all.end())
     {
         fmt::print(stderr, "usage: yuccafall_bench NAME [--seed=N] "
-                           "[--nodes=N]\n");
+                           "[--nodes=N]\n"
+                           "       yuccafall_bench model --pattern=NAME "
+                           "[--without=RULE] [--seeds=N] [--by_second]\n");
         for (auto const& it : all)
         {
             fmt::print(stderr, "  {:14} {}\n", it.name, it.summary);
