Replication: Let a duty to read settle before the store is called

Every node took itself for a reader until it knew the nodes, and then whenever it stood among the first of a list that was still growing.

Change: only seeds have the duty before the nodes are known, and a node that is fed takes it once it has been assigned for half a second.

--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 replicator::replicator(replicator_settings const& settings, std::uint64_t seed)
-    : settings_(settings), reader_(settings.reader, seed), random_(seed)
+    : settings_(settings), reader_(settings.reader, seed), random_(seed),
+      assigned_(settings.is_seed)
 {
     reader_.handle(duty_changed{false}, core::instant());
 }
@@ -48,6 +49,10 @@
     else if (!reading_)
     {
         consider(confirmed_by_peers_ + settings_.stale_after);
+        if (assigned_)
+        {
+            consider(assigned_since_ + settings_.duty_settles);
+        }
     }
     if (pull_)
     {
@@ -111,6 +116,10 @@
 
 void replicator::on(duty_assigned const& it, core::instant now, actions& out)
 {
+    if (it.reads_store && !assigned_)
+    {
+        assigned_since_ = now;
+    }
     assigned_ = it.reads_store;
     consider_duty(now, out);
 }
@@ -330,7 +339,9 @@
     }
     bool const fed =
         !state_.empty() && now - confirmed_by_peers_ < settings_.stale_after;
-    bool const wanted = assigned_ || !fed;
+    bool const is_settled =
+        assigned_ && now - assigned_since_ >= settings_.duty_settles;
+    bool const wanted = is_settled || !fed;
     if (wanted == reading_)
     {
         return;
--- a/src/replication/replicator.hpp
+++ b/src/replication/replicator.hpp
@@ -42,6 +42,10 @@
     // otherwise ask the store all at once; this covers a peer's own start and
     // its read of a store that is ten times slower than usual.
     core::milliseconds connected_patience{600};
+    // A node takes the duty to read once it has been assigned for so long.
+    // While the list of nodes grows at a start, most find themselves among the
+    // first of it for a moment. Until then it reads only where it is not fed.
+    core::milliseconds duty_settles{500};
     // Listed as a seed: others wait for what this node reads.
     bool is_seed = false;
 };
@@ -156,7 +160,10 @@
     store_reader reader_;
     core::random_source random_;
     std::map<link_id, peer_state> links_;
-    bool assigned_ = true;
+    // Until the nodes are known only seeds have the duty; others read where
+    // they are not fed.
+    bool assigned_;
+    core::instant assigned_since_{};
     bool reading_ = false;
     // The newest moment at which the copy was known to be current, by any way
     // and by peers alone.
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -123,12 +123,41 @@
     REQUIRE(*due <= at(750));
     REQUIRE(all<read_page>(other.handle(clock_moved{}, *due)).size() == 1);
 
+    // Fed before the nodes are known, it does not read at all.
+    auto fed = make_follower();
+    fed.handle(started{}, at(0));
+    fed.handle(link_opened{one}, at(5));
+    changes const whole{
+        {core::revision(), core::revision(9), {written("a", 9)}, {}},
+        milliseconds(0)};
+    fed.handle(message_received{one, whole}, at(30));
+    fed.handle(clock_moved{}, at(800));
+    REQUIRE_FALSE(fed.reads_store());
+
     // Without a peer nothing is waited for.
     auto alone = make_follower();
     alone.handle(started{}, at(0));
     REQUIRE(*alone.next_wake() <= at(225));
 }
 
+// Pattern "all nodes start within a third of a second": each is among the first
+// of the list while the list is short.
+TEST_CASE("a duty that is taken back at once costs no call")
+{
+    auto it = make_follower();
+    it.handle(started{}, at(0));
+    it.handle(link_opened{one}, at(5));
+    changes const whole{
+        {core::revision(), core::revision(9), {written("a", 9)}, {}},
+        milliseconds(0)};
+    it.handle(message_received{one, whole}, at(30));
+    REQUIRE(all<watch>(it.handle(duty_assigned{true}, at(40))).empty());
+    REQUIRE(all<watch>(it.handle(duty_assigned{false}, at(200))).empty());
+    REQUIRE(all<watch>(it.handle(duty_assigned{true}, at(300))).empty());
+    REQUIRE(*it.next_wake() == at(800));
+    REQUIRE(all<watch>(it.handle(clock_moved{}, at(800))).size() == 1);
+}
+
 // Guards against a node that trusts a source which is cut off from the store.
 TEST_CASE("a node whose sources cannot confirm what they hold reads the store")
 {
