Poison: Do not blame requests like one that has ended well

All requests that run when a worker crashes are suspects, by method, target and body. A target that many callers ask for is nearly always running, so two crashes with other causes within a minute made all nodes refuse it for a minute.

Change: the node beside a worker does not blame a request like one that has had a whole answer there within the last minute. A request that crashes its workers never has one.

Conclusion: the detection of a request that crashes each worker is unchanged (stand-in test "a request that crashes workers").

--- a/src/poison/crash_watch.cpp
+++ b/src/poison/crash_watch.cpp
@@ -22,7 +22,25 @@
     lost_.clear();
 }
 
-std::vector<notice> crash_watch::unreachable(core::instant)
+void crash_watch::run_completed(fingerprint const& request, core::instant now)
+{
+    auto const found = completed_.find(request);
+    if (found == completed_.end() && completed_.size() >= most_completed)
+    {
+        // Those that come often are soon known again.
+        completed_.clear();
+    }
+    completed_[request] = now;
+}
+
+bool crash_watch::is_cleared(fingerprint const& request,
+                             core::instant now) const
+{
+    auto const found = completed_.find(request);
+    return found != completed_.end() && now - found->second < clears_for;
+}
+
+std::vector<notice> crash_watch::unreachable(core::instant now)
 {
     asking_ = false;
     std::vector<notice> out;
@@ -33,7 +51,10 @@
     crash_id const crash{node_, ++crashes_};
     for (auto const& it : std::exchange(lost_, {}))
     {
-        out.push_back({it.request, crash});
+        if (!is_cleared(it.request, now))
+        {
+            out.push_back({it.request, crash});
+        }
     }
     return out;
 }
--- a/src/poison/tests/poison_test.cpp
+++ b/src/poison/tests/poison_test.cpp
@@ -106,6 +106,30 @@
     REQUIRE(it.unreachable(at(5'001)).front().crash.number == 2);
 }
 
+// Pattern "two workers crash while many callers ask for the same" (soak seed 1
+// with four nodes: a common lookup was refused everywhere for a minute).
+TEST_CASE("a request that has ended well lately is not blamed for a crash")
+{
+    crash_watch it{core::incarnation(1)};
+    it.run_completed(innocent, at(0));
+    it.run_lost(innocent, at(900));
+    it.run_lost(bad, at(901));
+    auto const notices = it.unreachable(at(910));
+    REQUIRE(notices.size() == 1);
+    REQUIRE(notices.front().request == bad);
+    // What ended well a minute ago clears nothing any more.
+    it.run_lost(innocent, at(61'000));
+    REQUIRE(it.unreachable(at(61'001)).size() == 1);
+    // Nor does what has been pushed out by many others.
+    it.run_completed(innocent, at(62'000));
+    for (std::uint64_t n = 0; n < crash_watch::most_completed; ++n)
+    {
+        it.run_completed(fingerprint(1'000 + n), at(62'000));
+    }
+    it.run_lost(innocent, at(62'100));
+    REQUIRE(it.unreachable(at(62'101)).size() == 1);
+}
+
 TEST_CASE("a notice survives its frame and other bytes are refused")
 {
     auto const bytes = encode(make_notice(~0ULL, 5, 6));
--- a/src/upstream/owner.cpp
+++ b/src/upstream/owner.cpp
@@ -386,8 +386,9 @@
 
 void owner::settle(entry& it, worker_answered& how)
 {
-    auto const ran_for =
-        whole_milliseconds(core::boot_clock::now() - it.started);
+    auto const now = core::boot_clock::now();
+    crashes_.run_completed(it.print, now);
+    auto const ran_for = whole_milliseconds(now - it.started);
     it.reply(peers::answered{it.offer.call, std::move(how.message), ran_for,
                              load()});
 }
