Soak: Fail processes, store and workers at random and check promises

Cause: faults from outside were tested one at a time.

Change: yuccafall_bench soak starts the real program as processes, kills, stops and pauses them, makes the store busy or silent, drops its history, changes the configuration, lets workers lose and cut answers, crash and drain, with effects that overlap. Checked: a booking runs at most once, what was refused has not run, each answer is its caller's own, no allowed route is denied, all nodes serve afterwards.

Not there yet: a loopback proxy between processes (delay, reset, one-way cut, silence), callers that keep connections open, clocks.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -7,6 +7,7 @@
 
 #include "bench/measures.hpp"
 #include "bench/model/experiment.hpp"
+#include "bench/soak/soak.hpp"
 #include "stand_ins/child_process.hpp"
 
 DEFINE_uint64(seed, 1, "seed of the callers");
@@ -15,6 +16,7 @@
 DEFINE_string(pattern, "", "model: pattern of load to play");
 DEFINE_string(without, "", "model: rule that is taken out");
 DEFINE_uint64(seeds, 1, "model: days to play; more than one compares");
+DEFINE_uint64(length_ms, 8'000, "soak: time in which faults begin");
 DEFINE_bool(by_second, false, "model: print figures for each second");
 
 int main(int argc, char** argv)
@@ -27,6 +29,13 @@
             {FLAGS_pattern, FLAGS_without, FLAGS_seed, FLAGS_seeds,
              FLAGS_by_second});
     }
+    if (argc == 2 && std::string_view(argv[1]) == "soak")
+    {
+        return yuccafall::bench::soak::report_soak(
+            {FLAGS_seed, FLAGS_nodes,
+             yuccafall::core::milliseconds(
+                 static_cast<long>(FLAGS_length_ms))});
+    }
     auto const& all = yuccafall::bench::all_measures();
     auto const found =
         std::find_if(all.begin(), all.end(), [&](auto const& it) {
@@ -37,7 +46,9 @@
         fmt::print(stderr, "usage: yuccafall_bench NAME [--seed=N] "
                            "[--nodes=N]\n"
                            "       yuccafall_bench model --pattern=NAME "
-                           "[--without=RULE] [--seeds=N] [--by_second]\n");
+                           "[--without=RULE] [--seeds=N] [--by_second]\n"
+                           "       yuccafall_bench soak [--seed=N] [--nodes=N] "
+                           "[--length_ms=N]\n");
         for (auto const& it : all)
         {
             fmt::print(stderr, "  {:14} {}\n", it.name, it.summary);
