--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -331,24 +331,7 @@
 
 core::result<message> decode(std::string_view frame)
 {
-    bool good = true;
-    try
-    {
-        auto const handle = msgpack::unpack(frame.data(), frame.size());
-        frame_elements from(handle.get(), good);
-        auto it = read_message(from);
-        from.end();
-        if (good)
-        {
-            return it;
-        }
-    }
-    catch (std::exception const& e)
-    {
-        return core::failure(core::error_kind::bad_frame, e.what());
-    }
-    return core::failure(core::error_kind::bad_frame,
-                         "elements of a message are missing or wrong");
+    return transport::read_frame(frame, read_message);
 }
 
 } // namespace yuccafall::peers
--- a/src/poison/codec.cpp
+++ b/src/poison/codec.cpp
@@ -17,27 +17,13 @@
 
 core::result<notice> decode(std::string_view frame)
 {
-    bool good = true;
-    try
-    {
-        auto const handle = msgpack::unpack(frame.data(), frame.size());
-        transport::frame_elements from(handle.get(), good);
+    return transport::read_frame(frame, [](transport::frame_elements& from) {
         notice it;
         it.request = fingerprint(from.number());
         it.crash.node = core::incarnation(from.number());
         it.crash.number = from.number();
-        from.end();
-        if (good)
-        {
-            return it;
-        }
-    }
-    catch (std::exception const& e)
-    {
-        return core::failure(core::error_kind::bad_frame, e.what());
-    }
-    return core::failure(core::error_kind::bad_frame,
-                         "elements of a notice are missing or wrong");
+        return it;
+    });
 }
 
 } // namespace yuccafall::poison
--- a/src/transport/msgpack_io.hpp
+++ b/src/transport/msgpack_io.hpp
@@ -7,10 +7,13 @@
 #include <limits>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 
+#include "core/error.hpp"
+
 namespace yuccafall::transport {
 
 class frame_writer
@@ -118,6 +121,32 @@
     bool* good_;
 };
 
+// Reads a frame that is one array. `read` takes the elements and returns the
+// message; a frame with a missing, wrong or further element is refused.
+template <class Read>
+auto read_frame(std::string_view frame, Read read)
+    -> core::result<decltype(read(std::declval<frame_elements&>()))>
+{
+    bool good = true;
+    try
+    {
+        auto const handle = msgpack::unpack(frame.data(), frame.size());
+        frame_elements from(handle.get(), good);
+        auto it = read(from);
+        from.end();
+        if (good)
+        {
+            return it;
+        }
+    }
+    catch (std::exception const& e)
+    {
+        return core::failure(core::error_kind::bad_frame, e.what());
+    }
+    return core::failure(core::error_kind::bad_frame,
+                         "elements of a message are missing or wrong");
+}
+
 } // namespace yuccafall::transport
 
 #endif
