--- a/src/trace/tests/trace_test.cpp
+++ b/src/trace/tests/trace_test.cpp
@@ -53,18 +53,19 @@
 TEST_CASE("a story has the lines of all nodes and what happened there")
 {
     story_builder builder(core::request_id("q1"));
-    for (auto const* text :
-         {"n2 time_ms=2000 level=info event=run_failed request=q1 kind=io",
-          "n1 time_ms=2010 level=info event=call_ended request=q1 "
-          "kind=upstream_failed reason=\"no retry budget\"",
-          "n1 time_ms=1000 level=info event=call_moved request=q1 from=w",
-          "n1 time_ms=1500 level=info event=worker_removed upstream=w",
-          "n1 time_ms=1501 level=info event=worker_removed upstream=v",
-          "n2 time_ms=1990 level=warning event=worker_crashed worker=w",
-          // Another node, another request, another time.
-          "n3 time_ms=1995 level=warning event=peer_lost node=n2",
-          "n1 time_ms=2000 level=info event=call_ended request=q2 kind=io",
-          "n1 time_ms=9000 level=info event=drain_started vm=n1"})
+    std::vector<std::string> const lines{
+        "n2 time_ms=2000 level=info event=run_failed request=q1 kind=io",
+        R"(n1 time_ms=2010 level=info event=call_ended request=q1 )"
+        R"(kind=upstream_failed reason="no retry budget")",
+        "n1 time_ms=1000 level=info event=call_moved request=q1 from=w",
+        "n1 time_ms=1500 level=info event=worker_removed upstream=w",
+        "n1 time_ms=1501 level=info event=worker_removed upstream=v",
+        "n2 time_ms=1990 level=warning event=worker_crashed worker=w",
+        // Another node, another request, another time.
+        "n3 time_ms=1995 level=warning event=peer_lost node=n2",
+        "n1 time_ms=2000 level=info event=call_ended request=q2 kind=io",
+        "n1 time_ms=9000 level=info event=drain_started vm=n1"};
+    for (auto const& text : lines)
     {
         builder.add(parsed(text));
     }
