--- a/bench/tests/soak_test.cpp
+++ b/bench/tests/soak_test.cpp
@@ -1,8 +1,8 @@
 // A short run of the soak. Each seed that ever broke a promise is added here
 // with a line on its cause.
 //
-// Seed 1, four nodes, 4 s: a common lookup was running when two workers crashed,
-// and was refused everywhere as one that crashes workers.
+// Seed 1, four nodes, 4 s: a common lookup was running when two workers
+// crashed, and was refused everywhere as one that crashes workers.
 #include <catch2/catch.hpp>
 
 #include "bench/soak/soak.hpp"
