Control: Log why a node reads the store and how a call to it failed

store_reading_changed names the reason and the age of the last confirmation, store_lost has the duration of the call and the idle time of its connection, and configuration_applied has the age of the confirmation. No decision changes.

ctest replication, node, platform, stand_ins: 4 passed.

--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -22,6 +22,20 @@
     return (std::uint64_t{device()} << 32) | device();
 }
 
+std::string_view name_of(replication::reading_reason it)
+{
+    switch (it)
+    {
+    case replication::reading_reason::assigned_reader:
+        return "assigned_reader";
+    case replication::reading_reason::unconfirmed_copy:
+        return "unconfirmed_copy";
+    case replication::reading_reason::confirmed_copy:
+        return "confirmed_copy";
+    }
+    return "unknown";
+}
+
 replication::replicator_settings replicator_settings_of(settings const& it)
 {
     replication::replicator_settings out;
@@ -209,7 +223,10 @@
     store_reachable_ = false;
     core::log_event(core::log_level::warning, "store_lost",
                     {{"reason", it.reason},
-                     {"as_of", replicator_.state().as_of().value()}});
+                     {"as_of", replicator_.state().as_of().value()},
+                     {"connection_idle_ms",
+                      store_->connection_idle_before_call().count()},
+                     {"waited_ms", store_->call_duration().count()}});
 }
 
 void control_plane::execute(replication::report_store_regained const&)
@@ -220,6 +237,17 @@
     update_directory(membership::store_regained{});
 }
 
+void control_plane::execute(replication::report_reading_changed const& it)
+{
+    core::log_event(
+        core::log_level::info, "store_reading_changed",
+        {{"reads_store", it.reads_store},
+         {"reason", name_of(it.reason)},
+         {"as_of", replicator_.state().as_of().value()},
+         {"confirmed_ago_ms",
+          replicator_.confirmed_ago(core::boot_clock::now()).count()}});
+}
+
 void control_plane::apply_item(replication::store_item const& it)
 {
     std::visit(core::overloaded{[&](platform::configuration_key const&) {
@@ -270,6 +298,8 @@
         {{"version", routes_->source_configuration().version.value()},
          {"before", current.value()},
          {"revision", it.revision.value()},
+         {"confirmed_ago_ms", replicator_.confirmed_ago(applied_at_).count()},
+         {"reads_store", replicator_.reads_store()},
          {"routes", routes_->source_configuration().routes.size()}});
 }
 
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -62,6 +62,7 @@
     void execute(replication::deliver_items const& it);
     void execute(replication::report_store_lost const& it);
     void execute(replication::report_store_regained const&);
+    void execute(replication::report_reading_changed const& it);
 
     void apply_item(replication::store_item const& it);
     void apply_configuration(replication::store_item const& it);
--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -365,6 +365,12 @@
         return;
     }
     reads_store_ = should_read;
+    auto const reason_to_read = is_active_reader
+                                    ? reading_reason::assigned_reader
+                                    : reading_reason::unconfirmed_copy;
+    out.emplace_back(report_reading_changed{
+        should_read,
+        should_read ? reason_to_read : reading_reason::confirmed_copy});
     handle_reader_event(reading_toggled{should_read}, now, out);
 }
 
--- a/src/replication/replicator.hpp
+++ b/src/replication/replicator.hpp
@@ -103,9 +103,25 @@
 {
     std::vector<store_item> items;
 };
+// Why a node reads the store or leaves that to its sources.
+enum class reading_reason
+{
+    assigned_reader,
+    // No peer has confirmed the copy within the staleness limit.
+    unconfirmed_copy,
+    // A peer confirms the copy, and this node is not assigned as a reader.
+    confirmed_copy,
+};
+// The node has started or stopped reading the store.
+struct report_reading_changed
+{
+    bool reads_store = false;
+    reading_reason reason = reading_reason::unconfirmed_copy;
+};
 using replicator_action =
     std::variant<read_page, watch, send_message, deliver_items,
-                 report_store_lost, report_store_regained>;
+                 report_store_lost, report_store_regained,
+                 report_reading_changed>;
 
 class replicator
 {
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -421,6 +421,7 @@
     }
     void execute(std::size_t, report_store_lost const&) {}
     void execute(std::size_t, report_store_regained const&) {}
+    void execute(std::size_t, report_reading_changed const&) {}
 
     void answer_watch(std::size_t node, bool timed_out)
     {
