HTTP: Bound what is read of a response without end

What could happen: a faulty worker that sends bytes without end makes the node exceed its memory, and a store whose history exceeds 8 MB is never followed again, as the same watch is repeated.

Cause: the limits of the parser were taken as complete. With Boost 1.74 the body limit is not applied to the Content-Length of a response, and neither the header of a chunk nor a trailer has a limit. A trial with a limit of 10 bytes accepted Content-Length 100, and 8 MB of one chunk header were buffered.

Change: the reader checks both itself and counts interim responses; the largest response of a worker is a twentieth of the memory limit. A watch whose response is too large leads to a read of the whole state, which has one version of each value.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -132,7 +132,10 @@
         auto const status = reader_->parse(unparsed_bytes_);
         if (!status)
         {
-            fail_exchange(failure_cause::invalid_response,
+            bool const too_large =
+                status.error().kind == core::error_kind::body_too_large;
+            fail_exchange(too_large ? failure_cause::response_too_large
+                                    : failure_cause::invalid_response,
                           status.error().detail);
             return;
         }
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -30,6 +30,8 @@
     closed_without_response,
     // The response is incomplete or is not valid HTTP.
     invalid_response,
+    // The body of the response exceeds the limit of the exchange.
+    response_too_large,
     timed_out,
     // close() was called during the exchange.
     canceled,
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -17,6 +17,10 @@
 
 namespace {
 
+// A server sends one interim response to a request in most cases. One that
+// sends them without end is faulty.
+constexpr int max_interim_responses = 8;
+
 template <class Fields>
 header_list copy_headers(Fields const& fields)
 {
@@ -49,10 +53,25 @@
     return error_kind::bad_request;
 }
 
+// The parser of Boost 1.74 does not apply its limit to the length that a
+// response states.
+template <class Parser>
+bool exceeds_body_limit(Parser const& parser, size_limits const& limits)
+{
+    auto const limit = limits.body.value();
+    // The response to a HEAD request states the length of a body that it does
+    // not have, and it is done with its head.
+    bool const expects_body =
+        parser.is_header_done() && !parser.is_done() && parser.content_length();
+    return (expects_body && *parser.content_length() > limit) ||
+           parser.get().body().size() > limit;
+}
+
 // Passes the buffer to the parser until the parser is done, fails or needs more
 // bytes. Removes the parsed bytes from the buffer.
 template <class Parser>
-error_code run_parser(Parser& parser, std::string& buffer)
+error_code run_parser(Parser& parser, std::string& buffer,
+                      size_limits const& limits)
 {
     error_code ec;
     std::size_t used = 0;
@@ -72,6 +91,16 @@
     {
         ec = {};
     }
+    if (!ec && exceeds_body_limit(parser, limits))
+    {
+        ec = beast::http::error::body_limit;
+    }
+    // Bytes that the parser has left in the buffer belong to a head, to the
+    // header of a chunk or to a trailer. The parser limits only heads.
+    if (!ec && !parser.is_done() && buffer.size() > limits.head.value())
+    {
+        ec = beast::http::error::header_limit;
+    }
     return ec;
 }
 
@@ -89,12 +118,14 @@
 
 struct request_reader::state
 {
+    size_limits limits;
     beast::http::request_parser<beast::http::string_body> parser;
 };
 
 request_reader::request_reader(size_limits limits)
     : state_(std::make_unique<state>())
 {
+    state_->limits = limits;
     set_limits(state_->parser, limits);
 }
 
@@ -110,7 +141,7 @@
         return core::failure(error_kind::bad_request,
                              "the request contains a folded header line");
     }
-    auto const ec = run_parser(parser, buffer);
+    auto const ec = run_parser(parser, buffer, state_->limits);
     if (ec)
     {
         return core::failure(error_kind_of(ec), ec.message());
@@ -176,6 +207,7 @@
     bool is_head_request;
     // The parser is replaced after each interim response.
     std::unique_ptr<parser_type> parser;
+    int interim_responses = 0;
     bool started = false;
 };
 
@@ -195,12 +227,20 @@
     {
         if (state_->is_interim())
         {
+            if (++state_->interim_responses > max_interim_responses)
+            {
+                return core::failure(error_kind::truncated_answer,
+                                     "too many interim responses");
+            }
             state_->reset();
         }
-        auto const ec = run_parser(*state_->parser, buffer);
+        auto const ec = run_parser(*state_->parser, buffer, state_->limits);
         if (ec)
         {
-            return core::failure(error_kind::truncated_answer, ec.message());
+            return core::failure(ec == beast::http::error::body_limit
+                                     ? error_kind::body_too_large
+                                     : error_kind::truncated_answer,
+                                 ec.message());
         }
     } while (state_->is_interim());
     return state_->parser->is_done() ? parse_progress::complete
--- a/src/http/readers.hpp
+++ b/src/http/readers.hpp
@@ -64,8 +64,9 @@
     response_reader& operator=(response_reader&&) noexcept;
 
     // Parses the buffer as request_reader::parse() does. Interim responses
-    // (1xx) are skipped. The function fails with truncated_answer if the bytes
-    // are not a valid response.
+    // (1xx) are skipped. The function fails with body_too_large if the body
+    // exceeds the limit, and with truncated_answer if the bytes are not a valid
+    // response.
     core::result<parse_progress> parse(std::string& buffer);
     // Must be called when the peer has closed the connection without an error,
     // which completes a response that has no length.
--- a/src/http/tests/readers_test.cpp
+++ b/src/http/tests/readers_test.cpp
@@ -151,6 +151,62 @@
     REQUIRE(buffer == "HTTP");
 }
 
+// Guards against a node that exceeds its memory because a faulty worker sends
+// bytes without end, in a head, a chunk header, a trailer, interim responses or
+// a body.
+TEST_CASE("a response that does not end is rejected within its limits")
+{
+    size_limits const limits{core::byte_count(1'000),
+                             core::byte_count(100'000)};
+    std::string const chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct endless_response
+    {
+        std::string start;
+        std::string repeated;
+    };
+    for (auto const& it :
+         {endless_response{"HTTP/1.1 200 ", "x"},
+          endless_response{"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+          endless_response{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+          endless_response{chunked, "0"}, endless_response{chunked + "1;", "x"},
+          endless_response{chunked + "0\r\n", "X: y\r\n"},
+          endless_response{chunked, "1\r\nx\r\n"},
+          endless_response{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+          endless_response{"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n",
+                           "x"}})
+    {
+        CAPTURE(it.start, it.repeated);
+        response_reader reader(limits, false);
+        std::string buffer = it.start;
+        std::size_t sent = buffer.size();
+        std::size_t max_buffered = 0;
+        auto status = reader.parse(buffer);
+        while (status && sent < 2'000'000)
+        {
+            std::string piece;
+            while (piece.size() < 512)
+            {
+                piece += it.repeated;
+            }
+            sent += piece.size();
+            buffer += piece;
+            status = reader.parse(buffer);
+            max_buffered = std::max(max_buffered, buffer.size());
+        }
+        REQUIRE_FALSE(status);
+        REQUIRE(max_buffered <= 2'000);
+    }
+}
+
+TEST_CASE("the response to a HEAD request may state any length")
+{
+    response_reader reader({core::byte_count(1'000), core::byte_count(10)},
+                           true);
+    std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n";
+    REQUIRE(reader.parse(buffer) == parse_progress::complete);
+}
+
 TEST_CASE("hop-by-hop headers are removed")
 {
     header_list list{
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -221,12 +221,12 @@
 void control_plane::execute(replication::report_store_lost const& it)
 {
     store_reachable_ = false;
-    core::log_event(core::log_level::warning, "store_lost",
-                    {{"reason", it.reason},
-                     {"as_of", replicator_.state().as_of().value()},
-                     {"connection_idle_ms",
-                      store_->connection_idle_before_call().count()},
-                     {"waited_ms", store_->call_duration().count()}});
+    core::log_event(
+        core::log_level::warning, "store_lost",
+        {{"reason", it.reason},
+         {"as_of", replicator_.state().as_of().value()},
+         {"connection_idle_ms", store_->connection_idle_before_call().count()},
+         {"waited_ms", store_->call_duration().count()}});
 }
 
 void control_plane::execute(replication::report_store_regained const&)
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -17,6 +17,10 @@
 // because bodies are copied on their way to the worker.
 constexpr std::uint64_t request_memory_divisor = 5;
 
+// Largest response of a worker as a share of the memory limit. A worker runs
+// several calls at a time, and a response is copied on its way to the caller.
+constexpr std::uint64_t response_memory_divisor = 20;
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -56,9 +60,11 @@
 {
     owner_ = std::make_shared<upstream::worker_owner>(
         context_,
-        upstream::worker_owner_settings{settings_.worker,
-                                        settings_.link_bandwidth,
-                                        core::incarnation(random_seed())},
+        upstream::worker_owner_settings{
+            settings_.worker, settings_.link_bandwidth,
+            core::byte_count(settings_.memory_limit.value() /
+                             response_memory_divisor),
+            core::incarnation(random_seed())},
         header_codec_, on_crash_notice_, upstream_counters_);
     auto peer_server = peers::peer_server::listen(
         context_, settings_.traffic,
--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -160,6 +160,12 @@
     handle_reader_event(it, now, out);
 }
 
+void replicator::on(history_too_large const& it, core::instant now,
+                    actions& out)
+{
+    handle_reader_event(it, now, out);
+}
+
 void replicator::on(call_failed const& it, core::instant now, actions& out)
 {
     handle_reader_event(it, now, out);
--- a/src/replication/replicator.hpp
+++ b/src/replication/replicator.hpp
@@ -90,7 +90,7 @@
 using replicator_event =
     std::variant<started, link_opened, link_lost, message_received,
                  role_assigned, timer_expired, page_read, watch_answered,
-                 history_discarded, call_failed>;
+                 history_discarded, history_too_large, call_failed>;
 
 // Actions.
 struct send_message
@@ -169,6 +169,7 @@
     void on(page_read const& it, core::instant now, actions& out);
     void on(watch_answered const& it, core::instant now, actions& out);
     void on(history_discarded const& it, core::instant now, actions& out);
+    void on(history_too_large const& it, core::instant now, actions& out);
     void on(call_failed const& it, core::instant now, actions& out);
 
     void receive(link_id from, digest const& it, core::instant now,
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -99,6 +99,12 @@
     start_call(out);
 }
 
+// The whole state holds only the newest version of each value.
+void store_reader::on(history_too_large const&, core::instant now, actions& out)
+{
+    on(history_discarded{}, now, out);
+}
+
 void store_reader::on(call_failed const& it, core::instant now, actions& out)
 {
     call_in_flight_ = false;
--- a/src/replication/store_reader.hpp
+++ b/src/replication/store_reader.hpp
@@ -60,6 +60,10 @@
 // The store no longer has the change history after the revision of the watch.
 struct history_discarded
 {};
+// The response to a watch exceeds the size that the client accepts, because it
+// lists every version of each value.
+struct history_too_large
+{};
 struct call_failed
 {
     std::string reason;
@@ -78,8 +82,9 @@
     bool enabled = true;
 };
 using reader_event =
-    std::variant<page_read, watch_answered, history_discarded, call_failed,
-                 reader_timer_expired, revision_advanced, reading_toggled>;
+    std::variant<page_read, watch_answered, history_discarded,
+                 history_too_large, call_failed, reader_timer_expired,
+                 revision_advanced, reading_toggled>;
 
 // Which connection carries a call.
 enum class connection_use
@@ -99,7 +104,8 @@
 };
 
 // Actions. The store's response to a call is reported as one of the events
-// page_read, watch_answered, history_discarded and call_failed.
+// page_read, watch_answered, history_discarded, history_too_large and
+// call_failed.
 struct read_page
 {
     // The page starts after this key. An empty key requests the first page.
@@ -147,6 +153,7 @@
     void on(page_read const& it, core::instant now, actions& out);
     void on(watch_answered const& it, core::instant now, actions& out);
     void on(history_discarded const&, core::instant now, actions& out);
+    void on(history_too_large const&, core::instant now, actions& out);
     void on(call_failed const& it, core::instant now, actions& out);
     void on(reader_timer_expired const&, core::instant now, actions& out);
     void on(revision_advanced const& it, core::instant now, actions& out);
@@ -162,7 +169,8 @@
     bool store_lost_ = false;
     // The revision after which the next watch starts. Invariant: it is 0 until
     // the whole state has been read from the store or received from a peer, and
-    // again after the store has discarded the history that the watch needs.
+    // again after the history that the watch needs was discarded by the store
+    // or was too large.
     core::revision watch_after_;
     // The items and the first page's revision of a read of the whole state that
     // is not complete.
--- a/src/replication/tests/store_reader_test.cpp
+++ b/src/replication/tests/store_reader_test.cpp
@@ -82,6 +82,14 @@
     REQUIRE(find<read_page>(it.handle(history_discarded{}, at(100))));
 }
 
+// Guards against a reader that repeats a watch whose response it can never
+// accept: the history holds every version of a large value and only grows.
+TEST_CASE("the whole state is read if the history is too large")
+{
+    auto it = make_watching_reader();
+    REQUIRE(find<read_page>(it.handle(history_too_large{}, at(100))));
+}
+
 // Guards against a recovery that is noticed seconds late: the first watch after
 // a failure would be held open by the store, which looks like a store that does
 // not respond (found in day mix --seed 261579441749 of kayal-trendhost).
--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -86,6 +86,7 @@
 {
     http::exchange_options options;
     options.timeout = timeout;
+    options.sizes.body = settings_.max_response_body;
     options.is_head_request = request.method == "HEAD";
     options.matches_request = [request_id,
                                read = header_codec_.read_response_metadata](
--- a/src/upstream/worker_client.hpp
+++ b/src/upstream/worker_client.hpp
@@ -61,6 +61,9 @@
     // that the worker states, since the worker may close it a little early.
     core::percentage keep_alive_share{75};
     std::size_t max_idle_connections = 32;
+    // A larger response is a failure, so that a faulty worker cannot use up the
+    // memory of the node.
+    core::byte_count max_response_body{8UL * 1024 * 1024};
 };
 
 // Handle to one request at the worker. Its destruction does not end the
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -45,6 +45,13 @@
     return out;
 }
 
+worker_client_settings client_settings_of(worker_owner_settings const& it)
+{
+    worker_client_settings out;
+    out.max_response_body = it.max_response_body;
+    return out;
+}
+
 } // namespace
 
 worker_owner::worker_owner(boost::asio::io_context& context,
@@ -54,7 +61,8 @@
                            std::shared_ptr<counters> counters)
     : queue_timer_(context), header_codec_(header_codec),
       worker_client_(std::make_shared<worker_client>(
-          context, settings.worker_endpoint, header_codec)),
+          context, settings.worker_endpoint, header_codec,
+          client_settings_of(settings))),
       queue_(queue_settings_of(settings)), load_timer_(context),
       crash_detector_(settings.incarnation),
       on_crash_notice_(std::move(on_crash_notice)),
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -46,6 +46,7 @@
     core::endpoint worker_endpoint;
     // Bandwidth of the VM's network link, or 0 if it is not known.
     core::bytes_per_second link_bandwidth{0};
+    core::byte_count max_response_body{8UL * 1024 * 1024};
     // Identifies this process in the crash notices that it sends.
     core::incarnation incarnation;
 };
