Admission: Keep to the rate limit that a worker states

Cause: nothing read the limit; only slots bounded the work. The class is a statement of the worker that passes through the node unread.

Change: the node beside a worker, which all requests pass, spaces the calls (generic cell rate algorithm, 250 ms of burst) and refuses at once what cannot start in time. Load reports carry the limit, so that callers choose other workers, and offers repeat it, so that a node that has restarted keeps to it before its worker has answered.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -88,11 +88,13 @@
     auto const external_slots = slots - std::min(slots, available_slots(now));
     pending_time +=
         service_times_.mean() * static_cast<long>(external_slots) / 2;
+    auto const rate_wait = rate_limiter_.wait(calls_ahead, now);
     if (running_.size() + external_slots + calls_ahead < slots)
     {
-        return {};
+        return rate_wait;
     }
-    return pending_time / static_cast<long>(slots);
+    return std::max<core::duration>(pending_time / static_cast<long>(slots),
+                                    rate_wait);
 }
 
 std::size_t slot_queue::max_late_calls() const
@@ -281,6 +283,12 @@
     external_calls_reported_at_ = now;
 }
 
+void slot_queue::on(rate_stated const& it, core::instant now, actions& out)
+{
+    rate_limiter_.state(it.rate, now);
+    start_ready_calls(now, out);
+}
+
 void slot_queue::on(call_rejected const&, core::instant now, actions&)
 {
     start_paused_until_ = now + settings_.rejection_pause;
@@ -350,8 +358,15 @@
         return;
     }
     refuse_expired(now, out);
+    rate_allows_call_at_ = {};
     while (running_.size() < available_slots(now))
     {
+        if (auto const wait = rate_limiter_.wait(0, now);
+            wait > core::duration::zero())
+        {
+            rate_allows_call_at_ = now + wait;
+            return;
+        }
         auto next = waiting_.end();
         for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
         {
@@ -369,6 +384,7 @@
         running_.emplace(next->first,
                          running_call{next->second.job.route, now,
                                       next->second.expected_service_time});
+        rate_limiter_.record_start(now);
         out.emplace_back(start_call{next->first});
         waiting_.erase(next);
     }
@@ -396,6 +412,10 @@
         {
             consider(start_paused_until_);
         }
+        if (rate_allows_call_at_ != core::instant{})
+        {
+            consider(rate_allows_call_at_);
+        }
     }
     return first;
 }
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -13,6 +13,10 @@
 //   caller no longer waits.
 // - A call is late if it would end after its target time even if it started
 //   now.
+// - The stated rate of a worker is the number of requests a second that it
+// takes
+//   from all nodes together. Only this queue sends requests to the worker, so
+//   it keeps to the limit for the whole fleet.
 // - External calls run or wait at the worker, but this queue did not start
 //   them. An earlier process of this node may have done so.
 //
@@ -33,6 +37,7 @@
 #include <vector>
 
 #include "admission/body_pacer.hpp"
+#include "admission/rate_limiter.hpp"
 #include "admission/service_times.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
@@ -103,6 +108,11 @@
 {
     worker_load load;
 };
+// The worker, or a node that knows its responses, has stated its rate.
+struct rate_stated
+{
+    core::stated_rate rate;
+};
 // The worker rejected a call although the queue counted a free slot.
 struct call_rejected
 {};
@@ -117,9 +127,10 @@
 {};
 struct drain_ended
 {};
-using event = std::variant<call_offered, body_arrived, call_canceled, run_ended,
-                           load_reported, call_rejected, slots_changed,
-                           timer_expired, drain_started, drain_ended>;
+using event =
+    std::variant<call_offered, body_arrived, call_canceled, run_ended,
+                 load_reported, rate_stated, call_rejected, slots_changed,
+                 timer_expired, drain_started, drain_ended>;
 
 // Actions that the calling code carries out after each event.
 // Asks the calling code to request the body of the call from the node that
@@ -176,6 +187,10 @@
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_.size(); }
     core::slot_count slots() const { return settings_.slots; }
+    core::stated_rate const& stated_rate() const
+    {
+        return rate_limiter_.stated();
+    }
     core::percentage relative_service_time() const
     {
         return relative_service_time_;
@@ -212,6 +227,7 @@
     void on(call_canceled const& it, core::instant now, actions& out);
     void on(run_ended const& it, core::instant now, actions& out);
     void on(load_reported const& it, core::instant now, actions& out);
+    void on(rate_stated const& it, core::instant now, actions& out);
     void on(call_rejected const&, core::instant now, actions& out);
     void on(slots_changed const& it, core::instant now, actions& out);
     void on(timer_expired const&, core::instant now, actions& out);
@@ -240,9 +256,10 @@
         }
     };
     static precedence precedence_of(waiting_call const& it, core::instant now);
-    // Returns the expected time until a slot is free for a call with the given
-    // precedence. The call waits behind all calls whose precedence is lower or
-    // equal, or behind all waiting calls if no precedence is given.
+    // Returns the expected time until a slot is free and the worker's rate
+    // allows a call with the given precedence. The call waits behind all calls
+    // whose precedence is lower or equal, or behind all waiting calls if no
+    // precedence is given.
     core::duration expected_wait(std::optional<precedence> const& position,
                                  core::instant now) const;
     // Returns the expected time until all bodies that go ahead of the new
@@ -261,6 +278,7 @@
     queue_settings settings_;
     body_pacer body_pacer_;
     service_times service_times_;
+    rate_limiter rate_limiter_;
     std::map<core::call_id, waiting_call> waiting_;
     std::map<core::call_id, running_call> running_;
     bool draining_ = false;
@@ -270,6 +288,9 @@
     core::instant external_calls_reported_at_{};
     // No call is started before this time, because the worker rejected a call.
     core::instant start_paused_until_{};
+    // When the worker's rate allows the next call, if a slot is free and the
+    // rate is what calls wait for. The clock's epoch otherwise.
+    core::instant rate_allows_call_at_{};
 };
 
 } // namespace yuccafall::admission
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -1,5 +1,6 @@
 // Tests which calls wait, run or are refused at one worker.
 #include <algorithm>
+#include <map>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -377,3 +378,131 @@
         }
     });
 }
+
+namespace {
+
+core::stated_rate limit_of(std::uint32_t per_second)
+{
+    return core::rate_limited{core::millihertz(per_second * 1'000)};
+}
+
+// Offers a call every ten milliseconds and ends each run after 50 ms.
+class steady_load
+{
+public:
+    explicit steady_load(fixture& f) : fixture_(f) {}
+
+    void handle(event const& it, long now)
+    {
+        record(fixture_.queue->handle(it, at(now)), now);
+    }
+
+    // Returns the start times of the calls, in milliseconds.
+    std::vector<long> run(long from, long until)
+    {
+        starts_.clear();
+        for (long now = from; now < until; ++now)
+        {
+            handle(timer_expired{}, now);
+            while (!ends_.empty() && ends_.begin()->first <= now)
+            {
+                auto const n = ends_.begin()->second;
+                ends_.erase(ends_.begin());
+                record(fixture_.end(n, now), now);
+            }
+            if (now % 10 == 0)
+            {
+                record(fixture_.offer(++last_call_, now), now);
+            }
+        }
+        return starts_;
+    }
+
+private:
+    void record(std::vector<action> const& actions, long now)
+    {
+        for (auto const n : started(actions))
+        {
+            starts_.push_back(now);
+            ends_.emplace(now + 50, n);
+        }
+    }
+
+    fixture& fixture_;
+    std::uint64_t last_call_ = 0;
+    std::vector<long> starts_;
+    std::multimap<long, std::uint64_t> ends_;
+};
+
+// Returns the largest number of the times that lie within four seconds.
+std::size_t most_in_four_seconds(std::vector<long> const& times)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last)
+    {
+        while (times[last] - times[first] >= 4'000)
+        {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+} // namespace
+
+// Guards against a worker in need that gets more requests than the limit that
+// it has stated, from all nodes together (rule LIMIT). The bound is that of the
+// platform: one and a half times the limit, and five.
+TEST_CASE("a worker gets no more calls than the rate that it has stated")
+{
+    rc::prop("limits", [](std::uint8_t seed) {
+        std::uint32_t const per_second = seed % 30;
+        fixture f(6);
+        steady_load load(f);
+        load.run(0, 2'000);
+        load.handle(rate_stated{limit_of(per_second)}, 2'000);
+        auto const limited = load.run(2'000, 12'000);
+        RC_ASSERT(most_in_four_seconds(limited) <= 6 * per_second + 5);
+        // The limit is used, and a worker without one may run any call.
+        RC_ASSERT(limited.size() >=
+                  std::max<std::size_t>(per_second * 9, std::size_t{5}));
+        load.handle(rate_stated{core::rate_unlimited{}}, 12'000);
+        RC_ASSERT(load.run(12'000, 13'000).size() >= 95);
+    });
+}
+
+// Guards against a limit that each statement of it starts anew: the worker
+// states it in each response.
+TEST_CASE("repeated statements of a limit allow no further calls")
+{
+    fixture f(6);
+    steady_load load(f);
+    load.handle(rate_stated{limit_of(5)}, 0);
+    std::size_t n = 0;
+    for (long ms = 0; ms < 4'000; ms += 20)
+    {
+        n += load.run(ms, ms + 20).size();
+        load.handle(rate_stated{limit_of(ms % 40 == 0 ? 5 : 6)}, ms + 20);
+    }
+    REQUIRE(n <= 6 * 5 + 5);
+}
+
+// Guards against callers that wait for a call whose turn does not come in time,
+// and against retries that come back before it.
+TEST_CASE("a call that the rate does not allow in time is refused at once")
+{
+    fixture f(6);
+    f.queue->handle(rate_stated{limit_of(1)}, at(0));
+    REQUIRE(started(f.offer(1, 0)) == call_numbers{1});
+    REQUIRE(f.offer(2, 10).empty());
+    auto const late = refusals(f.offer(3, 20, {1, 500, 1'500}));
+    REQUIRE(late.size() == 1);
+    REQUIRE(late.front().kind == core::error_kind::overloaded);
+    REQUIRE(late.front().retry_after > milliseconds(900));
+    auto const due = f.queue->next_timer();
+    REQUIRE(due);
+    REQUIRE(*due <= at(1'010));
+    REQUIRE(started(f.queue->handle(timer_expired{}, at(1'001))) ==
+            call_numbers{2});
+}
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -109,7 +109,13 @@
                                     load_report const& load, core::instant now)
 {
     auto& state = states_[id];
+    auto const known_rate = state.load.rate;
     state.load = load;
+    if (std::holds_alternative<core::rate_unknown>(load.rate))
+    {
+        // The node beside the worker has restarted.
+        state.load.rate = known_rate;
+    }
     state.reported_at = now;
     state.has_report = true;
     while (!state.unreported_calls.empty() &&
@@ -136,6 +142,14 @@
     return found != states_.end() && found->second.ejected_until > now;
 }
 
+core::stated_rate
+upstream_scores::stated_rate(core::upstream_id const& id) const
+{
+    auto const found = states_.find(id);
+    return found == states_.end() ? core::stated_rate()
+                                  : found->second.load.rate;
+}
+
 upstream_scores::response_estimate
 upstream_scores::estimate_for(upstream const& candidate,
                               call_traits const& traits,
@@ -166,22 +180,30 @@
                                         100.0;
     double const open_calls =
         load.running.value() + load.waiting.value() + unreported_count;
+    auto const reported_wait =
+        traits.nested ? load.wait_at_front : load.wait_at_back;
+    auto const remaining_wait = std::max<core::duration>(
+        reported_wait - (now - state.reported_at), core::duration::zero());
     if (open_calls >= slots)
     {
-        auto const reported_wait =
-            traits.nested ? load.wait_at_front : load.wait_at_back;
-        auto const remaining_wait = reported_wait - (now - state.reported_at);
         out.time_to_slot =
-            std::max<core::duration>(remaining_wait, core::duration::zero()) +
-            duration_from_ms(expected_run_time_ms * (unreported_count + 0.5) /
-                             slots);
+            remaining_wait + duration_from_ms(expected_run_time_ms *
+                                              (unreported_count + 0.5) / slots);
+    }
+    if (auto const* limited = std::get_if<core::rate_limited>(&load.rate))
+    {
+        auto const interval_ms =
+            1e6 / std::max<double>(limited->limit.value(), 1);
+        out.time_to_slot = std::max(
+            out.time_to_slot,
+            remaining_wait + duration_from_ms(interval_ms * unreported_count));
     }
     if (traits.body_follows && load.body_rate.value() > 0)
     {
-        core::duration const remaining_wait =
+        core::duration const body_wait =
             load.wait_for_bodies - (now - state.reported_at);
-        out.time_to_slot = std::max(
-            {out.time_to_slot, remaining_wait, core::duration::zero()});
+        out.time_to_slot =
+            std::max({out.time_to_slot, body_wait, core::duration::zero()});
         out.time_to_response += duration_from_ms(
             1000.0 * static_cast<double>(traits.body_size.value()) /
             static_cast<double>(load.body_rate.value()));
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -22,6 +22,7 @@
 #include "core/endpoint.hpp"
 #include "core/ids.hpp"
 #include "core/random.hpp"
+#include "core/stated_rate.hpp"
 #include "core/units.hpp"
 
 namespace yuccafall::balancing {
@@ -57,6 +58,8 @@
     core::percentage relative_service_time{100};
     // Percentage of the recent calls to the worker that it rejected.
     core::percentage rejection_share;
+    // The two waits above include the time until the rate allows a call.
+    core::stated_rate rate;
 };
 
 // How a call that was sent to an upstream ended.
@@ -161,6 +164,10 @@
 
     bool is_ejected(core::upstream_id const& id, core::instant now) const;
 
+    // Returns what the worker has stated most recently as far as this node
+    // knows. A node beside the worker that has restarted learns it from offers.
+    core::stated_rate stated_rate(core::upstream_id const& id) const;
+
 private:
     struct upstream_state
     {
--- a/src/core/units.hpp
+++ b/src/core/units.hpp
@@ -16,6 +16,8 @@
 using node_count = strong<struct node_count_tag, std::uint64_t>;
 using byte_count = strong<struct byte_count_tag, std::uint64_t>;
 using bytes_per_second = strong<struct bytes_per_second_tag, std::uint64_t>;
+// A frequency in thousandths of an event a second.
+using millihertz = strong<struct millihertz_tag, std::uint32_t>;
 using weight = strong<struct weight_tag, std::uint32_t>;
 // The number of upstreams that a node may try for one request.
 using attempt_count = strong<struct attempt_count_tag, std::uint32_t>;
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -189,6 +189,7 @@
     offer.origin = ingress_->settings_.service;
     offer.may_have_run = may_have_run_;
     offer.has_alternative = requires_free_slot_;
+    offer.rate = ingress_->upstream_scores_.stated_rate(target.id);
     offer.body_follows = sends_body_separately;
     offer.body_size = core::byte_count(request_.body.size());
     body_sent_ = !sends_body_separately;
--- a/src/metadata/header_codec.hpp
+++ b/src/metadata/header_codec.hpp
@@ -51,6 +51,9 @@
     std::optional<core::request_id> request_id;
     // The load that the worker reports.
     std::optional<admission::worker_load> load;
+    // The rate that the worker states, or unknown if its statement cannot be
+    // read.
+    core::stated_rate rate;
     // How long the worker keeps the connection open while it is idle.
     std::optional<core::milliseconds> idle_timeout;
 };
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -61,9 +61,25 @@
     }
 }
 
+// An empty array stands for an unknown rate, and one without a number above 0
+// for a rate without a limit. A limit is sent plus one.
+void write_field(frame_writer& to, core::stated_rate const& it)
+{
+    std::visit(core::overloaded{[&](core::rate_unknown) { to.array(0); },
+                                [&](core::rate_unlimited) {
+                                    to.array(1);
+                                    to.number(0);
+                                },
+                                [&](core::rate_limited const& limited) {
+                                    to.array(1);
+                                    to.number(limited.limit.value() + 1UL);
+                                }},
+               it);
+}
+
 void write_field(frame_writer& to, balancing::load_report const& it)
 {
-    to.array(9);
+    to.array(10);
     to.number(it.running.value());
     to.number(it.waiting.value());
     to.number(it.slots.value());
@@ -73,6 +89,7 @@
     to.number(it.body_rate.value());
     to.number(it.relative_service_time.value());
     to.number(it.rejection_share.value());
+    write_field(to, it.rate);
 }
 
 core::call_id read_call_id(frame_elements& from)
@@ -109,6 +126,23 @@
     return out;
 }
 
+core::stated_rate read_rate(frame_elements& from)
+{
+    auto it = from.array();
+    if (it.remaining() == 0)
+    {
+        return core::rate_unknown{};
+    }
+    auto const n = it.number(max_uint32 + 1);
+    it.expect_end();
+    if (n == 0)
+    {
+        return core::rate_unlimited{};
+    }
+    return core::rate_limited{
+        core::millihertz(static_cast<std::uint32_t>(n - 1))};
+}
+
 balancing::load_report read_load(frame_elements& from)
 {
     auto it = from.array();
@@ -122,6 +156,7 @@
     out.body_rate = core::bytes_per_second(it.number());
     out.relative_service_time = read_uint32<core::percentage>(it);
     out.rejection_share = read_uint32<core::percentage>(it);
+    out.rate = read_rate(it);
     it.expect_end();
     return out;
 }
@@ -139,7 +174,7 @@
 
 void write_message(frame_writer& to, offer const& it)
 {
-    write_header(to, message_kind::offer, 18);
+    write_header(to, message_kind::offer, 19);
     write_field(to, it.call);
     to.text(it.upstream.value());
     to.text(it.request_id.value());
@@ -153,6 +188,7 @@
     to.flag(it.may_have_run);
     to.flag(it.has_alternative);
     to.flag(it.body_follows);
+    write_field(to, it.rate);
     to.number(it.body_size.value());
     to.text(it.http_request.method);
     to.text(it.http_request.target);
@@ -243,6 +279,7 @@
     it.may_have_run = from.flag();
     it.has_alternative = from.flag();
     it.body_follows = from.flag();
+    it.rate = read_rate(from);
     it.body_size = core::byte_count(from.number());
     it.http_request.method = from.text();
     it.http_request.target = from.text();
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -47,6 +47,9 @@
     bool has_alternative = false;
     // Whether the body is sent separately, after the receiver has asked for it.
     bool body_follows = false;
+    // What the caller's node knows of the worker's rate. A receiver that has
+    // restarted knows less, and keeps to it until the worker responds.
+    core::stated_rate rate;
     // Size of the whole body, whether this message contains it or not.
     core::byte_count body_size;
     // The request without the hop-by-hop fields of the caller's connection.
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -26,6 +26,7 @@
     it.body_rate = core::bytes_per_second(960'000);
     it.relative_service_time = core::percentage(120);
     it.rejection_share = core::percentage(7);
+    it.rate = core::rate_limited{core::millihertz(12'200)};
     return it;
 }
 
@@ -44,6 +45,7 @@
     it.origin = core::service_name("s");
     it.may_have_run = true;
     it.has_alternative = true;
+    it.rate = core::rate_unlimited{};
     it.body_size = core::byte_count(3);
     it.http_request.method = "POST";
     it.http_request.target = "/x";
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -52,6 +52,45 @@
     return out;
 }
 
+std::string_view name_of(rate_source it)
+{
+    switch (it)
+    {
+    case rate_source::response:
+        return "response";
+    case rate_source::rejection:
+        return "rejection";
+    case rate_source::offer:
+        return "offer";
+    }
+    return "unknown";
+}
+
+std::optional<core::millihertz> limit_of(core::stated_rate const& it)
+{
+    auto const* limited = std::get_if<core::rate_limited>(&it);
+    return limited == nullptr ? std::nullopt : std::optional(limited->limit);
+}
+
+// Returns whether a statement about a worker's rate replaces the one in use.
+// `is_known` states whether the worker has told its rate to this process.
+bool may_apply(core::stated_rate const& rate, rate_source source, bool is_known)
+{
+    switch (source)
+    {
+    case rate_source::response:
+        return !std::holds_alternative<core::rate_unknown>(rate);
+    case rate_source::rejection:
+        // Only the response to a call that has run ends a limit, since a
+        // rejection may come from a part of the worker that states none.
+        return limit_of(rate).has_value();
+    case rate_source::offer:
+        // Other nodes repeat what the worker stated to an earlier process.
+        return limit_of(rate).has_value() && !is_known;
+    }
+    return false;
+}
+
 } // namespace
 
 worker_owner::worker_owner(boost::asio::io_context& context,
@@ -111,6 +150,7 @@
         refuse(call, error_kind::no_upstream, unreachable_backoff, false);
         return;
     }
+    update_rate(call.offer.upstream, call.offer.rate, rate_source::offer);
     admission::job job;
     job.call = key;
     job.route = call.offer.route;
@@ -248,7 +288,8 @@
 }
 
 // Sends nothing if the worker was not nearly full at the last report and is not
-// now, since its exact load then affects no choice of an upstream.
+// now, since its exact load then affects no choice of an upstream. A worker
+// that limits its rate may have free slots that no call can use.
 void worker_owner::send_load_reports()
 {
     auto const now = core::boot_clock::now();
@@ -257,7 +298,8 @@
         return l.running.value() + l.waiting.value();
     };
     auto const nearly_full = [&](balancing::load_report const& l) {
-        return open_calls(l) + nearly_full_margin >= l.slots.value();
+        return open_calls(l) + nearly_full_margin >= l.slots.value() ||
+               std::holds_alternative<core::rate_limited>(l.rate);
     };
     if (load_report_scheduled_ ||
         open_calls(current) == open_calls(last_sent_load_) ||
@@ -339,6 +381,8 @@
              {"running", queue_.running()},
              {"waiting", queue_.waiting()},
              {"slots", queue_.slots().value()},
+             {"limited",
+              std::holds_alternative<core::rate_limited>(queue_.stated_rate())},
              {"retry_after_ms", retry_after.count()}});
     }
     call.reply(peers::refused{call.offer.call, kind, retry_after,
@@ -373,6 +417,17 @@
 
     bool const completed = std::holds_alternative<worker_answered>(outcome);
     bool const rejected = std::holds_alternative<worker_rejected>(outcome);
+    std::visit(
+        core::overloaded{[&](worker_answered const& it) {
+                             update_rate(call.offer.upstream, it.metadata.rate,
+                                         rate_source::response);
+                         },
+                         [&](worker_rejected const& it) {
+                             update_rate(call.offer.upstream, it.metadata.rate,
+                                         rate_source::rejection);
+                         },
+                         [](auto const&) {}},
+        outcome);
     auto const* load = std::visit(
         core::overloaded{
             [](worker_answered const& it) { return &it.metadata.load; },
@@ -401,6 +456,34 @@
     std::visit([&](auto& it) { report_outcome(call, it); }, outcome);
 }
 
+void worker_owner::update_rate(core::upstream_id const& upstream,
+                               core::stated_rate const& rate,
+                               rate_source source)
+{
+    bool const is_known =
+        rate_stated_by_ == upstream &&
+        !std::holds_alternative<core::rate_unknown>(queue_.stated_rate());
+    if (!may_apply(rate, source, is_known))
+    {
+        return;
+    }
+    rate_stated_by_ = upstream;
+    auto const limit = limit_of(rate);
+    bool const changed = limit != limit_of(queue_.stated_rate());
+    handle_event(admission::rate_stated{rate});
+    if (!changed)
+    {
+        return;
+    }
+    counters_->rate_limit = limit.value_or(core::millihertz(0)).value();
+    core::log_event(
+        core::log_level::info, "worker_rate_stated",
+        {{"upstream", upstream.value()},
+         {"limited", limit.has_value()},
+         {"limit_millihertz", limit.value_or(core::millihertz(0)).value()},
+         {"source", name_of(source)}});
+}
+
 void worker_owner::update_rejection_share(bool rejected)
 {
     rejection_share_ +=
@@ -514,6 +597,7 @@
     report.relative_service_time = queue_.relative_service_time();
     report.rejection_share =
         core::percentage(static_cast<std::uint32_t>(rejection_share_ * 100));
+    report.rate = queue_.stated_rate();
     return report;
 }
 
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -51,6 +51,15 @@
     core::incarnation incarnation;
 };
 
+// Where a statement about the rate of the local worker comes from.
+enum class rate_source
+{
+    response,
+    rejection,
+    // Another node's offer, which repeats what the worker stated earlier.
+    offer,
+};
+
 // The session of calls from this node's own callers to the local worker. They
 // cross no network link.
 inline constexpr session_id local_session{0};
@@ -127,6 +136,9 @@
                 core::milliseconds retry_after, bool reached_worker);
     void cancel(call_key const& key, call_entry& call);
     void update_rejection_share(bool rejected);
+    // Applies what the worker, or another node, states about its rate.
+    void update_rate(core::upstream_id const& upstream,
+                     core::stated_rate const& rate, rate_source source);
     void check_for_crash(poison::fingerprint const& request);
     void send_load_reports();
 
@@ -162,6 +174,8 @@
     bool load_report_scheduled_ = false;
     poison::crash_detector crash_detector_;
     crash_notice_handler on_crash_notice_;
+    // The worker that has stated the rate in use.
+    core::upstream_id rate_stated_by_;
     // Moving average of the share of calls that the worker rejected, from 0
     // to 1.
     double rejection_share_ = 0;
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -56,6 +56,21 @@
     thread_.invoke([&] { fault_ = fault; });
 }
 
+void fake_worker::set_rate_limit(std::string per_second)
+{
+    thread_.invoke([&] { rate_limit_ = std::move(per_second); });
+}
+
+// Adds what the worker states about itself in each response.
+void fake_worker::add_statements(http::response& to) const
+{
+    to.headers.push_back({"Server-Load", load_header()});
+    if (!rate_limit_.empty())
+    {
+        to.headers.push_back({"Server-Limit", rate_limit_});
+    }
+}
+
 void fake_worker::crash()
 {
     thread_.invoke([&] {
@@ -84,9 +99,8 @@
 {
     http::response it;
     it.status = status;
-    it.headers = {{"Not-Executed", "1"},
-                  {"Instance-Id", options_.id},
-                  {"Server-Load", load_header()}};
+    it.headers = {{"Not-Executed", "1"}, {"Instance-Id", options_.id}};
+    add_statements(it);
     return it;
 }
 
@@ -149,8 +163,8 @@
     http::response it;
     it.status = 200;
     it.headers = {{"Attempt-Id", id},
-                  {"Response-Signature", options_.id + "." + id},
-                  {"Server-Load", load_header()}};
+                  {"Response-Signature", options_.id + "." + id}};
+    add_statements(it);
     it.body = "answer to " + id;
     if (fault_ == worker_fault::adds_content_encoding)
     {
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -61,6 +61,9 @@
     core::endpoint local() const { return local_; }
     worker_options const& options() const { return options_; }
     void set_fault(worker_fault fault);
+    // The worker states this number of requests a second in all its responses.
+    // An empty text ends that. The worker itself does not keep to it.
+    void set_rate_limit(std::string per_second);
     // Closes all connections and accepts no more until restart() is called.
     void crash();
     void restart();
@@ -73,6 +76,7 @@
     void handle(connection const& caller, http::request const& it);
     void finish_request(connection const& caller, std::string const& id);
     http::response make_rejection(int status) const;
+    void add_statements(http::response& to) const;
     // Returns the numbers of running requests, waiting requests and slots, and
     // the service time in percent of the usual one.
     std::string load_header() const;
@@ -84,6 +88,7 @@
     // thread_.
     std::shared_ptr<http::server> server_;
     worker_fault fault_ = worker_fault::none;
+    std::string rate_limit_;
     worker_counts counts_;
     std::size_t running_ = 0;
 };
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -345,3 +345,43 @@
     ::kill(fleet.node(0).pid(), SIGHUP);
     REQUIRE(fleet.call(0, deployment::request("/look/", "h")).status == 200);
 }
+
+// Guards against a node that restarts and, for want of a response yet, sends
+// the worker beside it as many requests as it has slots, although the worker
+// has stated a lower limit to the nodes that call it.
+TEST_CASE("a restarted node keeps to the limit that its worker stated before")
+{
+    running_deployment fleet({{"a", "shop", 6, core::milliseconds(20)},
+                              {"a", "desk", 6, core::milliseconds(20)}},
+                             {{"/look/", "idempotent", "shop"}});
+    fleet.worker(0).set_rate_limit("2.5");
+    auto const first = fleet.call(1, deployment::request("/look/", "first"));
+    REQUIRE(first.status == 200);
+    auto const* stated = http::find_header(first.headers, "Server-Limit");
+    REQUIRE(stated != nullptr);
+    REQUIRE(*stated == "2.5");
+
+    fleet.node(0).kill();
+    fleet.node(0).wait_for(core::milliseconds(5'000));
+    fleet.start_node(0);
+    REQUIRE(fleet.wait_until_ready(0));
+    std::vector<std::thread> callers;
+    callers.reserve(12);
+    for (int i = 0; i < 12; ++i)
+    {
+        callers.emplace_back([&fleet, i] {
+            fleet.call(1, deployment::request("/look/", fmt::format("l{}", i)),
+                       core::milliseconds(700));
+        });
+    }
+    for (auto& it : callers)
+    {
+        it.join();
+    }
+    REQUIRE(fleet.wait_for_log(0, "source=offer"));
+    // One call at once, and one more in the time that the callers wait.
+    REQUIRE(fleet.worker(0).counts().runs.size() <= 1 + 3);
+    fleet.worker(0).set_rate_limit("");
+    REQUIRE(fleet.call(1, deployment::request("/look/", "last")).status == 200);
+    REQUIRE(fleet.wait_for_log(0, "limited=false"));
+}
