Membership: Send no new calls to a worker that states that it leaves

Only the entry was read.

Change: the node beside the worker refuses new calls for it, and each response and refusal tells the callers' nodes, which do not choose it again. They remember it, so that a restart of the node beside the worker changes nothing. The start time in the entry tells a worker that has started again under its id.

--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -135,6 +135,11 @@
     }
 }
 
+void upstream_scores::record_leaving(upstream const& it, core::instant now)
+{
+    leaving_workers_.record(it.id, it.started, now);
+}
+
 bool upstream_scores::is_ejected(core::upstream_id const& id,
                                  core::instant now) const
 {
@@ -226,7 +231,8 @@
     std::vector<upstream const*> healthy;
     for (auto const& it : upstreams)
     {
-        if (tried.count(it.id) != 0)
+        if (tried.count(it.id) != 0 ||
+            leaving_workers_.contains(it.id, it.started, now))
         {
             continue;
         }
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -24,6 +24,7 @@
 #include "core/random.hpp"
 #include "core/stated_rate.hpp"
 #include "core/units.hpp"
+#include "membership/leaving_workers.hpp"
 
 namespace yuccafall::balancing {
 
@@ -31,6 +32,7 @@
 struct upstream
 {
     core::upstream_id id;
+    core::worker_start started;
     // Address at which the node beside the worker accepts calls.
     core::endpoint node;
     core::data_centre data_centre;
@@ -159,6 +161,10 @@
     void record_run(core::upstream_id const& id, core::route_name const& route,
                     core::milliseconds run_time);
 
+    // Records that the worker has stated in a response that it leaves. It is
+    // not chosen again.
+    void record_leaving(upstream const& it, core::instant now);
+
     // Removes the state of workers that are not listed any more.
     void remove_unlisted(std::set<core::upstream_id> const& listed);
 
@@ -204,8 +210,8 @@
     std::vector<upstream const*>
     sample_candidates(std::vector<upstream const*> upstreams,
                       core::random_source& random) const;
-    // Returns the upstreams that have not been tried and are not ejected, or
-    // all that have not been tried if most of these are ejected.
+    // Returns the upstreams that do not leave, have not been tried and are not
+    // ejected, or those of them that are ejected too if most are.
     std::vector<upstream const*>
     eligible(std::vector<upstream> const& upstreams,
              std::set<core::upstream_id> const& tried, core::instant now) const;
@@ -216,6 +222,7 @@
     double mean_run_time_ms(core::route_name const& route) const;
 
     choice_settings settings_;
+    membership::leaving_workers leaving_workers_;
     std::map<core::upstream_id, upstream_state> states_;
     // Moving average of the run time of each route over all upstreams, in
     // milliseconds.
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -21,9 +21,12 @@
 // fairness among callers.
 using caller_id = strong<struct caller_id_tag, std::string>;
 
-// Identifies one run of a worker process. A worker that is restarted is another
-// upstream, even at the same address.
+// Identifies a worker. A worker that is restarted has another id in most cases,
+// even at the same address.
 using upstream_id = strong<struct upstream_id_tag, std::string>;
+// When a worker started, in milliseconds since the Unix epoch, or 0 if it is
+// not known. It tells apart the runs of a worker that keeps its id.
+using worker_start = strong<struct worker_start_tag, std::uint64_t>;
 
 // Identifies a request that a client has sent, in the logs of all nodes that
 // handle it. The workers that a node tries for the request get the same id. If
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -229,6 +229,7 @@
 
 void call::on(peers::refused const& it)
 {
+    record_leaving(it.worker_leaves);
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
     on_attempt_ended(attempt_refused{it.kind, it.retry_after, it.reached_worker,
@@ -236,8 +237,18 @@
                      outcome_of_refusal(it.kind));
 }
 
+void call::record_leaving(bool worker_leaves)
+{
+    if (worker_leaves)
+    {
+        ingress_->upstream_scores_.record_leaving(*upstream_,
+                                                  core::boot_clock::now());
+    }
+}
+
 void call::on(peers::answered& it)
 {
+    record_leaving(it.worker_leaves);
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
     ingress_->upstream_scores_.record_run(upstream_->id, route_->name,
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -51,6 +51,7 @@
     template <class Other>
     void on(Other const&)
     {}
+    void record_leaving(bool worker_leaves);
     void on_connection_lost(peers::connection_loss const& loss);
 
     // Handles the end of an attempt that brought no response.
--- a/src/membership/worker_directory.cpp
+++ b/src/membership/worker_directory.cpp
@@ -12,9 +12,9 @@
 // warm-up time, so that a new warm-up time alone does not count as a change.
 bool same_entry(worker_entry const& a, worker_entry const& b)
 {
-    return a.service == b.service && a.address == b.address &&
-           a.data_centre == b.data_centre && a.slots == b.slots &&
-           a.state == b.state;
+    return a.started == b.started && a.service == b.service &&
+           a.address == b.address && a.data_centre == b.data_centre &&
+           a.slots == b.slots && a.state == b.state;
 }
 
 } // namespace
--- a/src/membership/worker_entry.hpp
+++ b/src/membership/worker_entry.hpp
@@ -19,6 +19,7 @@
 struct worker_entry
 {
     core::upstream_id id;
+    core::worker_start started;
     core::service_name service;
     // The address on which the worker itself listens. It is reachable only from
     // the worker's own VM.
--- a/src/metadata/header_codec.hpp
+++ b/src/metadata/header_codec.hpp
@@ -51,6 +51,8 @@
     std::optional<core::request_id> request_id;
     // The load that the worker reports.
     std::optional<admission::worker_load> load;
+    // True if the worker leaves: it finishes its requests and gets no new ones.
+    bool leaves = false;
     // The rate that the worker states, or unknown if its statement cannot be
     // read.
     core::stated_rate rate;
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -355,6 +355,7 @@
         nodes.insert(it.address.address);
         view->upstreams[it.service].push_back(
             {it.id,
+             it.started,
              {it.address.address, settings_.traffic.port},
              it.data_centre,
              it.slots});
@@ -364,7 +365,8 @@
         if (it.address == settings_.worker)
         {
             view->local_workers.push_back(
-                {id, it.slots, it.state == membership::worker_state::draining});
+                {id, it.started, it.slots,
+                 it.state == membership::worker_state::draining});
         }
     }
     view->poisoned = suspects_.poisoned(core::boot_clock::now());
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -217,22 +217,24 @@
 
 void write_message(frame_writer& to, refused const& it)
 {
-    write_header(to, message_kind::refused, 5);
+    write_header(to, message_kind::refused, 6);
     write_field(to, it.call);
     to.text(core::error_kind_info_for(it.kind).name);
     write_field(to, it.retry_after);
     to.flag(it.reached_worker);
+    to.flag(it.worker_leaves);
     write_field(to, it.load);
 }
 
 void write_message(frame_writer& to, answered const& it)
 {
-    write_header(to, message_kind::answered, 6);
+    write_header(to, message_kind::answered, 7);
     write_field(to, it.call);
     to.number(static_cast<std::uint64_t>(it.http_response.status));
     write_field(to, it.http_response.headers);
     to.text(it.http_response.body);
     write_field(to, it.run_time);
+    to.flag(it.worker_leaves);
     write_field(to, it.load);
 }
 
@@ -295,6 +297,7 @@
     it.kind = read_error_kind(from);
     it.retry_after = read_duration(from);
     it.reached_worker = from.flag();
+    it.worker_leaves = from.flag();
     it.load = read_load(from);
     return it;
 }
@@ -307,6 +310,7 @@
     it.http_response.headers = read_headers(from);
     it.http_response.body = from.text();
     it.run_time = read_duration(from);
+    it.worker_leaves = from.flag();
     it.load = read_load(from);
     return it;
 }
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -84,6 +84,8 @@
     // Whether the request was sent to the worker itself, which the caller's
     // node counts in call_progress::workers_reached.
     bool reached_worker = false;
+    // Whether the worker has stated that it leaves.
+    bool worker_leaves = false;
     balancing::load_report load;
 };
 
@@ -94,6 +96,8 @@
     http::response http_response;
     // How long the call occupied a slot of the worker.
     core::milliseconds run_time{0};
+    // Whether the worker has stated that it leaves.
+    bool worker_leaves = false;
     balancing::load_report load;
 };
 
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -74,13 +74,14 @@
     check_round_trip(body_data{make_call_id(), "bytes"});
     check_round_trip(cancel{make_call_id()});
     check_round_trip(refused{make_call_id(), core::error_kind::leaving,
-                             core::milliseconds(30), true, make_load_report()});
+                             core::milliseconds(30), true, true,
+                             make_load_report()});
     http::response response;
     response.status = 201;
     response.headers = {{"A", "b"}};
     response.body = "whole";
     check_round_trip(answered{make_call_id(), response, core::milliseconds(9),
-                              make_load_report()});
+                              true, make_load_report()});
     check_round_trip(failed{make_call_id(), core::error_kind::upstream_failed,
                             "reset", make_load_report()});
     check_round_trip(load_update{core::upstream_id("i"), make_load_report()});
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -52,6 +52,20 @@
     return out;
 }
 
+// Returns the metadata of a response in which the worker speaks for itself, or
+// null if there is none.
+metadata::response_metadata const* metadata_of(worker_outcome const& it)
+{
+    return std::visit(
+        core::overloaded{
+            [](worker_answered const& o) { return &o.metadata; },
+            [](worker_rejected const& o) { return &o.metadata; },
+            [](auto const&) {
+                return static_cast<metadata::response_metadata const*>(nullptr);
+            }},
+        it);
+}
+
 std::string_view name_of(rate_source it)
 {
     switch (it)
@@ -134,8 +148,7 @@
     call.offer = std::move(offer);
     call.reply = std::move(reply);
     call.deadline = now + call.offer.deadline_remaining;
-    auto const listed = workers_.find(call.offer.upstream);
-    if (listed != workers_.end() && listed->second.draining)
+    if (leaves(call.offer.upstream))
     {
         refuse(call, error_kind::leaving, {}, false);
         return;
@@ -230,30 +243,35 @@
 
 void worker_owner::set_workers(std::vector<listed_worker> const& workers)
 {
-    // Offers are accepted while no worker has been listed yet, since the list
-    // may not have arrived.
-    bool all_draining =
-        !workers.empty() || !workers_.empty() || all_workers_removed_;
+    had_workers_ = had_workers_ || !workers.empty();
     workers_.clear();
     replaced_workers_.clear();
     for (auto const& it : workers)
     {
         workers_.emplace(it.id, it);
-        all_draining = all_draining && it.draining;
-        all_workers_removed_ = false;
         if (!it.draining && it.slots != queue_.slots())
         {
             handle_event(admission::slots_changed{it.slots});
         }
     }
-    all_workers_removed_ = all_draining && workers.empty();
+    update_queue_draining();
+}
+
+void worker_owner::update_queue_draining()
+{
     if (draining_)
     {
         return;
     }
+    // Offers are accepted while no worker has been listed yet, since the list
+    // may not have arrived.
+    bool const all_leave =
+        had_workers_ &&
+        std::all_of(workers_.begin(), workers_.end(),
+                    [this](auto const& it) { return leaves(it.first); });
     // Calls that wait for a draining worker are refused, since another worker
     // can run them sooner.
-    if (all_draining)
+    if (all_leave)
     {
         handle_event(admission::drain_started{});
         return;
@@ -261,6 +279,35 @@
     handle_event(admission::drain_ended{});
 }
 
+core::worker_start
+worker_owner::start_of(core::upstream_id const& upstream) const
+{
+    auto const listed = workers_.find(upstream);
+    return listed == workers_.end() ? core::worker_start()
+                                    : listed->second.started;
+}
+
+bool worker_owner::leaves(core::upstream_id const& upstream) const
+{
+    auto const listed = workers_.find(upstream);
+    return (listed != workers_.end() && listed->second.draining) ||
+           leaving_workers_.contains(upstream, start_of(upstream),
+                                     core::boot_clock::now());
+}
+
+void worker_owner::record_leaving(core::upstream_id const& upstream)
+{
+    auto const started = start_of(upstream);
+    if (!leaving_workers_.record(upstream, started, core::boot_clock::now()))
+    {
+        return;
+    }
+    core::log_event(
+        core::log_level::info, "worker_leaves",
+        {{"upstream", upstream.value()}, {"started", started.value()}});
+    update_queue_draining();
+}
+
 void worker_owner::start_draining()
 {
     if (!std::exchange(draining_, true))
@@ -386,7 +433,8 @@
              {"retry_after_ms", retry_after.count()}});
     }
     call.reply(peers::refused{call.offer.call, kind, retry_after,
-                              reached_worker, load()});
+                              reached_worker, leaves(call.offer.upstream),
+                              load()});
 }
 
 void worker_owner::start_run(call_key const& key, call_entry& call)
@@ -417,17 +465,16 @@
 
     bool const completed = std::holds_alternative<worker_answered>(outcome);
     bool const rejected = std::holds_alternative<worker_rejected>(outcome);
-    std::visit(
-        core::overloaded{[&](worker_answered const& it) {
-                             update_rate(call.offer.upstream, it.metadata.rate,
-                                         rate_source::response);
-                         },
-                         [&](worker_rejected const& it) {
-                             update_rate(call.offer.upstream, it.metadata.rate,
-                                         rate_source::rejection);
-                         },
-                         [](auto const&) {}},
-        outcome);
+    auto const* metadata = metadata_of(outcome);
+    if (metadata != nullptr && !metadata->wrong_worker)
+    {
+        update_rate(call.offer.upstream, metadata->rate,
+                    completed ? rate_source::response : rate_source::rejection);
+        if (metadata->leaves)
+        {
+            record_leaving(call.offer.upstream);
+        }
+    }
     auto const* load = std::visit(
         core::overloaded{
             [](worker_answered const& it) { return &it.metadata.load; },
@@ -496,7 +543,7 @@
     crash_detector_.request_completed(call.fingerprint, now);
     auto const run_time = to_milliseconds(now - call.started_at);
     call.reply(peers::answered{call.offer.call, std::move(outcome.response),
-                               run_time, load()});
+                               run_time, leaves(call.offer.upstream), load()});
 }
 
 void worker_owner::report_outcome(call_entry& call, worker_rejected& outcome)
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -20,6 +20,7 @@
 
 #include "admission/slot_queue.hpp"
 #include "core/ids.hpp"
+#include "membership/leaving_workers.hpp"
 #include "metadata/header_codec.hpp"
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
@@ -37,6 +38,7 @@
 struct listed_worker
 {
     core::upstream_id id;
+    core::worker_start started;
     core::slot_count slots{1};
     bool draining = false;
 };
@@ -136,6 +138,13 @@
                 core::milliseconds retry_after, bool reached_worker);
     void cancel(call_key const& key, call_entry& call);
     void update_rejection_share(bool rejected);
+    // Returns whether the worker drains by its entry or leaves by its
+    // responses.
+    bool leaves(core::upstream_id const& upstream) const;
+    core::worker_start start_of(core::upstream_id const& upstream) const;
+    void record_leaving(core::upstream_id const& upstream);
+    // Tells the queue whether any worker may get calls.
+    void update_queue_draining();
     // Applies what the worker, or another node, states about its rate.
     void update_rate(core::upstream_id const& upstream,
                      core::stated_rate const& rate, rate_source source);
@@ -150,6 +159,7 @@
     admission::slot_queue queue_;
     // The workers that the platform lists at the local worker's address.
     std::map<core::upstream_id, listed_worker> workers_;
+    membership::leaving_workers leaving_workers_;
     // Workers whose address another worker has taken, as a response has shown.
     // The set is cleared when the list of workers changes.
     std::set<core::upstream_id> replaced_workers_;
@@ -183,8 +193,8 @@
     // connection.
     core::instant unreachable_until_{};
     bool draining_ = false;
-    // True if workers were listed before and the list is empty now.
-    bool all_workers_removed_ = false;
+    // True if the list of workers has not been empty at some time.
+    bool had_workers_ = false;
     std::shared_ptr<counters> counters_;
 };
 
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -123,11 +123,18 @@
                         {"version", "v1"},
                         {"slots", it.options.slots},
                         {"state", state},
+                        {"born", it.worker_start},
                         {"cold_left_ms", 0},
                         {"sequence", 1}};
     store_->put("servers/" + it.worker->options().id, entry.dump());
 }
 
+void deployment::publish_restarted_worker(std::size_t vm)
+{
+    ++vms_[vm].worker_start;
+    publish_worker(vm);
+}
+
 void deployment::remove_worker(std::size_t vm)
 {
     store_->erase("servers/" + vms_[vm].worker->options().id);
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -70,6 +70,8 @@
     // is 2 and each later one is 2 higher.
     std::uint64_t publish(std::vector<route_options> const& routes);
     void publish_worker(std::size_t vm, std::string const& state = "ready");
+    // Publishes the worker as one that has started again under its id.
+    void publish_restarted_worker(std::size_t vm);
     void remove_worker(std::size_t vm);
 
     core::endpoint caller_endpoint(std::size_t vm) const;
@@ -105,6 +107,8 @@
         core::ip_address address;
         std::unique_ptr<fake_worker> worker;
         std::unique_ptr<child_process> node;
+        // Stands for the time at which the worker started.
+        std::uint64_t worker_start = 1;
     };
 
     std::string make_settings(std::size_t vm) const;
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -61,10 +61,19 @@
     thread_.invoke([&] { rate_limit_ = std::move(per_second); });
 }
 
+void fake_worker::set_leaving(bool leaving)
+{
+    thread_.invoke([&] { leaving_ = leaving; });
+}
+
 // Adds what the worker states about itself in each response.
 void fake_worker::add_statements(http::response& to) const
 {
     to.headers.push_back({"Server-Load", load_header()});
+    if (leaving_)
+    {
+        to.headers.push_back({"Server-Leaving", "1"});
+    }
     if (!rate_limit_.empty())
     {
         to.headers.push_back({"Server-Limit", rate_limit_});
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -64,6 +64,8 @@
     // The worker states this number of requests a second in all its responses.
     // An empty text ends that. The worker itself does not keep to it.
     void set_rate_limit(std::string per_second);
+    // The worker states in all its responses that it leaves.
+    void set_leaving(bool leaving);
     // Closes all connections and accepts no more until restart() is called.
     void crash();
     void restart();
@@ -89,6 +91,7 @@
     std::shared_ptr<http::server> server_;
     worker_fault fault_ = worker_fault::none;
     std::string rate_limit_;
+    bool leaving_ = false;
     worker_counts counts_;
     std::size_t running_ = 0;
 };
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -385,3 +385,44 @@
     REQUIRE(fleet.call(1, deployment::request("/look/", "last")).status == 200);
     REQUIRE(fleet.wait_for_log(0, "limited=false"));
 }
+
+// Guards against a worker that leaves and gets new calls, because its entry in
+// the store has not changed yet and the node beside it has restarted since the
+// worker stated it (rule DRAIN).
+TEST_CASE("a worker that has stated that it leaves gets no new calls")
+{
+    running_deployment fleet({{"a", "shop", 6, core::milliseconds(5)},
+                              {"b", "shop", 6, core::milliseconds(5)},
+                              {"a", "desk", 6, core::milliseconds(5)}},
+                             {{"/look/", "idempotent", "shop"}});
+    auto const call_until = [&](std::string const& name, auto const& done) {
+        for (int i = 0; i < 200 && !done(); ++i)
+        {
+            fleet.call(
+                2, deployment::request("/look/", fmt::format("{}{}", name, i)));
+        }
+        return done();
+    };
+    fleet.worker(0).set_leaving(true);
+    auto const stated = [&] {
+        return fleet.log(0).find("event=worker_leaves") != std::string::npos;
+    };
+    REQUIRE(call_until("a", stated));
+    auto const restart_node = [&] {
+        fleet.node(0).kill();
+        fleet.node(0).wait_for(core::milliseconds(5'000));
+        fleet.start_node(0);
+        REQUIRE(fleet.wait_until_ready(0));
+    };
+    auto const runs_before = fleet.worker(0).counts().runs.size();
+    restart_node();
+    call_until("b", [] { return false; });
+    REQUIRE(fleet.worker(0).counts().runs.size() == runs_before);
+
+    // The worker has started again under its id and knows nothing of before.
+    fleet.worker(0).set_leaving(false);
+    fleet.publish_restarted_worker(0);
+    REQUIRE(call_until("c", [&] {
+        return fleet.worker(0).counts().runs.size() > runs_before;
+    }));
+}
