Upstream: Match each response on a kept connection by its id

What callers could see: 'not run, try again' for a request that a worker runs at that moment (REFUSED), or a second run of it (TWICE). Reported by other operators: a faulty worker writes an earlier refusal once more on a kept connection.

Here a repeated refusal with the id of the earlier request was discarded already, but one without an id was taken for the current request.

Cause: a response without an id matched every request. Change: on a connection that has carried another request, a response without an id belongs to no request and is discarded; the answer behind it is delivered.

The new test failed before: {answered, rejected} in place of {answered, answered}. The fake worker now echoes the id in its rejections.

--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -88,14 +88,20 @@
     options.timeout = timeout;
     options.sizes.body = settings_.max_response_body;
     options.is_head_request = request.method == "HEAD";
-    options.matches_request = [request_id,
+    auto bytes = http::serialize(request);
+    auto connection = take_idle_connection();
+    // On a connection that has carried another request, a response without an
+    // id may be a late or repeated one to that request. A refusal among those
+    // would tell the caller that a request did not run which runs at this
+    // moment.
+    bool const needs_id = connection && !request_id.value().empty();
+    options.matches_request = [request_id, needs_id,
                                read = header_codec_.read_response_metadata](
                                   http::response const& it) {
         auto const metadata = read(it);
-        return !metadata.request_id || *metadata.request_id == request_id;
+        return metadata.request_id ? *metadata.request_id == request_id
+                                   : !needs_id;
     };
-    auto bytes = http::serialize(request);
-    auto connection = take_idle_connection();
     if (connection)
     {
         exchange(connection, std::move(bytes), std::move(options),
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -104,11 +104,16 @@
     return fmt::format("{},0,{},100", running_, options_.slots);
 }
 
-http::response fake_worker::make_rejection(int status) const
+http::response fake_worker::make_rejection(int status,
+                                           std::string const& id) const
 {
     http::response it;
     it.status = status;
     it.headers = {{"Not-Executed", "1"}, {"Instance-Id", options_.id}};
+    if (!id.empty())
+    {
+        it.headers.push_back({"Attempt-Id", id});
+    }
     add_statements(it);
     return it;
 }
@@ -116,19 +121,19 @@
 void fake_worker::handle(connection const& caller, http::request const& it)
 {
     ++counts_.arrivals;
+    auto const id = header_value(it, "Attempt-Id");
     auto const target_instance = header_value(it, "Target-Instance");
     if (!target_instance.empty() && target_instance != options_.id)
     {
-        caller->send_response(make_rejection(421));
+        caller->send_response(make_rejection(421, id));
         return;
     }
     if (running_ >= options_.slots || fault_ == worker_fault::rejects_requests)
     {
         ++counts_.rejected;
-        caller->send_response(make_rejection(503));
+        caller->send_response(make_rejection(503, id));
         return;
     }
-    auto const id = header_value(it, "Attempt-Id");
     ++counts_.runs[id];
     counts_.caller_services.insert(header_value(it, "Caller-Service"));
     if (fault_ == worker_fault::crashes &&
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -77,7 +77,8 @@
     void listen();
     void handle(connection const& caller, http::request const& it);
     void finish_request(connection const& caller, std::string const& id);
-    http::response make_rejection(int status) const;
+    // The id is that of the request that is rejected, or empty.
+    http::response make_rejection(int status, std::string const& id = {}) const;
     void add_statements(http::response& to) const;
     // Returns the numbers of running requests, waiting requests and slots, and
     // the service time in percent of the usual one.
