Platform: Show that odd entries neither end a node nor stop it

Reported by other operators: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -426,3 +426,37 @@
         return fleet.worker(0).counts().runs.size() > runs_before;
     }));
 }
+
+// Guards against nodes that end, or no longer follow the store, because another
+// writer has left an odd entry among those of the workers.
+TEST_CASE("nodes follow the store beside odd entries")
+{
+    running_deployment fleet;
+    constexpr std::size_t depth = 20'000;
+    fleet.store().put("servers/nested", std::string(depth, '['));
+    fleet.store().put("servers/bytes", std::string("\0\xff\r\n", 4));
+    fleet.store().put("servers/empty", "");
+    fleet.store().put("servers/with \"quotes\"\r\n", "{}");
+    fleet.store().put(
+        "servers/port",
+        R"({"service":"shop","address":"10.0.0.1:65536","zone":"a",)"
+        R"("slots":6,"state":"ready","cold_left_ms":0})");
+    fleet.store().put(
+        "servers/number",
+        R"({"service":"shop","address":"10.0.0.1:80","zone":"a","slots":1)" +
+            std::string(300, '0') + R"(,"state":"ready","cold_left_ms":0})");
+    auto const version = fleet.publish(default_routes());
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        REQUIRE(fleet.wait_for_version(i, version));
+        REQUIRE(
+            fleet.call(i, deployment::request("/look/", fmt::format("o{}", i)))
+                .status == 200);
+    }
+    // A node that starts reads the entries as pages.
+    fleet.store().discard_history();
+    fleet.node(2).kill();
+    fleet.node(2).wait_for(core::milliseconds(5'000));
+    fleet.start_node(2);
+    REQUIRE(fleet.wait_until_ready(2));
+}
