Soak: Keep connections open, reload nodes and limit workers

Half of the callers keep their connections, SIGHUP comes at any time, also during a stop, and workers state limits of 2.5 to 21.5 requests a second for six seconds or more. New checks: a limit in any four seconds, and a request that ran and whose connection ended although its node was only stopped.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -18,6 +18,8 @@
 DEFINE_uint64(seeds, 1,
               "model: number of seeds; more than one compares the results "
               "with and without the rule");
+DEFINE_bool(extended, false,
+            "soak: kept connections, SIGHUP and workers with a limit");
 DEFINE_uint64(length_ms, 8'000, "soak: time in which faults are injected");
 DEFINE_bool(by_second, false, "model: print the results of each second");
 
@@ -35,8 +37,8 @@
     {
         return yuccafall::bench::soak::report_soak(
             {FLAGS_seed, FLAGS_nodes,
-             yuccafall::core::milliseconds(
-                 static_cast<long>(FLAGS_length_ms))});
+             yuccafall::core::milliseconds(static_cast<long>(FLAGS_length_ms)),
+             FLAGS_extended});
     }
     auto const& measures = yuccafall::bench::all_measures();
     auto const found =
@@ -50,7 +52,7 @@
                            "       yuccafall_bench model --pattern=NAME "
                            "[--without=RULE] [--seeds=N] [--by_second]\n"
                            "       yuccafall_bench soak [--seed=N] [--nodes=N] "
-                           "[--length_ms=N]\n");
+                           "[--length_ms=N] [--extended]\n");
         for (auto const& it : measures)
         {
             fmt::print(stderr, "  {:14} {}\n", it.name, it.summary);
--- a/bench/soak/soak.cpp
+++ b/bench/soak/soak.cpp
@@ -14,6 +14,7 @@
 
 #include "core/overloaded.hpp"
 #include "core/random.hpp"
+#include "stand_ins/caller_session.hpp"
 #include "stand_ins/deployment.hpp"
 
 namespace yuccafall::bench::soak {
@@ -29,6 +30,8 @@
 // of a fault. Most faults last longer than the pause, so that they overlap.
 constexpr milliseconds min_pause{80};
 constexpr std::uint64_t pause_range_ms = 320;
+// A limit lasts so much longer that it binds for some seconds.
+constexpr milliseconds limit_duration{6'000};
 constexpr milliseconds min_fault_duration{150};
 constexpr std::uint64_t fault_duration_range_ms = 1'200;
 // After the last fault has ended, each node has to respond with status 200 to
@@ -83,9 +86,20 @@
 {
     std::size_t vm;
 };
+// The node's process gets SIGHUP, also while it is being stopped.
+struct node_reloaded
+{
+    std::size_t vm;
+};
+// The worker states a limit on its rate for longer than the other faults last.
+struct worker_limited
+{
+    std::size_t vm;
+};
 using fault = std::variant<node_killed, node_stopped, node_paused, store_faulty,
                            history_dropped, configuration_changed,
-                           worker_faulty, worker_crashed, worker_draining>;
+                           worker_faulty, worker_crashed, worker_draining,
+                           node_reloaded, worker_limited>;
 
 // Returns the routes of a configuration. An odd configuration number adds one
 // more route.
@@ -117,6 +131,8 @@
 {
     std::string id;
     bool is_booking = false;
+    // The node was killed or paused while it had the request.
+    bool node_failed = false;
     stand_ins::call_result result;
 };
 
@@ -126,7 +142,8 @@
     explicit soak(soak_options const& options)
         : options_(options), random_(options.seed),
           deployment_(make_vms(options.nodes), make_routes(0)),
-          is_reserved_(options.nodes)
+          is_reserved_(options.nodes), is_limited_(options.nodes),
+          node_failures_(options.nodes)
     {}
 
     soak_result run()
@@ -161,17 +178,24 @@
     void run_caller(std::size_t caller)
     {
         core::random_source random(options_.seed * 1'000 + caller);
+        stand_ins::caller_session session;
+        bool const keeps_connections = options_.extended && caller % 2 == 0;
         std::vector<sent_request> sent;
         for (std::size_t i = 0; !stopping_; ++i)
         {
             sent_request it;
             it.id = fmt::format("{}-{}-{}", options_.seed, caller, i);
             it.is_booking = random.below(2) == 0;
-            it.result = deployment_.call(
-                random.below(deployment_.size()),
+            auto const vm = random.below(deployment_.size());
+            auto const message =
                 deployment::request(it.is_booking ? "/book/" : "/look/", it.id,
-                                    it.is_booking ? "POST" : "GET"),
-                caller_timeout);
+                                    it.is_booking ? "POST" : "GET");
+            auto const failures_before = node_failures_[vm].load();
+            it.result = keeps_connections
+                            ? session.call(deployment_.caller_endpoint(vm),
+                                           message, caller_timeout)
+                            : deployment_.call(vm, message, caller_timeout);
+            it.node_failed = failures_before != node_failures_[vm].load();
             sent.push_back(std::move(it));
         }
         std::lock_guard const lock(mutex_);
@@ -213,7 +237,7 @@
     fault draw_fault()
     {
         auto const vm = random_.below(deployment_.size());
-        switch (random_.below(9))
+        switch (random_.below(options_.extended ? 11 : 9))
         {
         case 0:
             return node_killed{vm};
@@ -236,6 +260,10 @@
                         : stand_ins::worker_fault::adds_content_encoding};
         case 7:
             return worker_crashed{vm};
+        case 9:
+            return node_reloaded{vm};
+        case 10:
+            return worker_limited{vm};
         default:
             return worker_draining{vm};
         }
@@ -273,6 +301,7 @@
         {
             return;
         }
+        ++node_failures_[it.vm];
         deployment_.node(it.vm).kill();
         schedule_restart(it.vm, until);
     }
@@ -308,8 +337,10 @@
         {
             return;
         }
+        ++node_failures_[it.vm];
         deployment_.node(it.vm).pause();
         schedule_end(until, [this, vm = it.vm] {
+            ++node_failures_[vm];
             deployment_.node(vm).resume();
             is_reserved_[vm] = false;
         });
@@ -361,6 +392,54 @@
                      [this, vm = it.vm] { deployment_.publish_worker(vm); });
     }
 
+    void inject(node_reloaded const& it, core::instant)
+    {
+        if (!deployment_.node(it.vm).has_ended())
+        {
+            deployment_.node(it.vm).reload();
+        }
+    }
+
+    void inject(worker_limited const& it, core::instant until)
+    {
+        if (is_limited_[it.vm])
+        {
+            return;
+        }
+        is_limited_[it.vm] = true;
+        deployment_.worker(it.vm).set_rate_limit(
+            fmt::format("{}.5", 2 + random_.below(20)));
+        schedule_end(until + limit_duration, [this, vm = it.vm] {
+            deployment_.worker(vm).set_rate_limit("");
+            is_limited_[vm] = false;
+        });
+    }
+
+    // The platform allows one and a half times the limit in any four seconds,
+    // and five requests, from three seconds after the first statement of it.
+    void check_limit(std::size_t vm, stand_ins::limit_episode const& it)
+    {
+        auto const allowed = static_cast<std::size_t>(6 * it.per_second + 5);
+        auto const bound_from = it.stated_at + milliseconds(3'000);
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < it.arrivals.size(); ++last)
+        {
+            while (it.arrivals[last] - it.arrivals[first] >=
+                       milliseconds(4'000) ||
+                   (it.arrivals[first] < bound_from && first < last))
+            {
+                ++first;
+            }
+            if (last - first + 1 > allowed)
+            {
+                record_violation(fmt::format(
+                    "worker {} stated {} a second and got {} in four seconds",
+                    vm, it.per_second, last - first + 1));
+                return;
+            }
+        }
+    }
+
     void check_recovery()
     {
         for (std::size_t i = 0; i < deployment_.size(); ++i)
@@ -394,10 +473,15 @@
         std::map<std::string, int> runs;
         for (std::size_t i = 0; i < deployment_.size(); ++i)
         {
-            for (auto const& [id, n] : deployment_.worker(i).counts().runs)
+            auto const counts = deployment_.worker(i).counts();
+            for (auto const& [id, n] : counts.runs)
             {
                 runs[id] += n;
             }
+            for (auto const& it : counts.limits)
+            {
+                check_limit(i, it);
+            }
         }
         result_.calls = calls_.size();
         for (auto const& it : calls_)
@@ -421,6 +505,14 @@
             record_violation(
                 fmt::format("request {} was refused but ran", it.id));
         }
+        if (status == 0 && runs > 0 && !it.node_failed &&
+            it.result.took < caller_timeout)
+        {
+            record_violation(fmt::format(
+                "request {} ran and its connection ended without a response "
+                "although its node was neither killed nor paused",
+                it.id));
+        }
         if (status == 200 && it.result.body != "answer to " + it.id)
         {
             record_violation(
@@ -444,6 +536,10 @@
     // True for each VM whose node or worker is reserved for a fault that has
     // not ended yet.
     std::vector<bool> is_reserved_;
+    // True for each VM whose worker states a limit.
+    std::vector<bool> is_limited_;
+    // How often the node of each VM was killed, paused or resumed.
+    std::vector<std::atomic<std::uint64_t>> node_failures_;
     // Actions that end the faults, by the time at which they are due.
     std::multimap<core::instant, std::function<void()>> fault_ends_;
     std::uint64_t configuration_number_ = 0;
--- a/bench/soak/soak.hpp
+++ b/bench/soak/soak.hpp
@@ -19,6 +19,10 @@
     std::size_t nodes = 6;
     // Faults are injected for this long.
     core::milliseconds length{8'000};
+    // Adds callers that keep their connections open, nodes that read their
+    // settings again, and workers that state a limit. The sequence of faults of
+    // a seed depends on it.
+    bool extended = false;
 };
 
 struct soak_result
--- a/bench/tests/soak_test.cpp
+++ b/bench/tests/soak_test.cpp
@@ -23,3 +23,22 @@
     REQUIRE(it.answered > 0);
     REQUIRE(it.faults > 0);
 }
+
+// Guards against planned stops that cut the requests of callers with open
+// connections, and against nodes that together exceed the limit of a worker
+// while they restart.
+TEST_CASE("guarantees hold for kept connections, reloads and limited workers")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    {
+        soak_options options;
+        options.seed = seed;
+        options.nodes = 5;
+        options.length = core::milliseconds(10'000);
+        options.extended = true;
+        auto const it = run_soak(options);
+        CAPTURE(seed, it.broken);
+        REQUIRE(it.broken.empty());
+        REQUIRE(it.answered > 0);
+    }
+}
--- a/stand_ins/child_process.hpp
+++ b/stand_ins/child_process.hpp
@@ -35,6 +35,8 @@
 
     void terminate() const { send_signal(SIGTERM); }
     void kill() const { send_signal(SIGKILL); }
+    // Tells the process to read its settings again.
+    void reload() const { send_signal(SIGHUP); }
     void pause() const { send_signal(SIGSTOP); }
     void resume() const { send_signal(SIGCONT); }
 
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -58,7 +58,14 @@
 
 void fake_worker::set_rate_limit(std::string per_second)
 {
-    thread_.invoke([&] { rate_limit_ = std::move(per_second); });
+    thread_.invoke([&] {
+        rate_limit_ = std::move(per_second);
+        if (!rate_limit_.empty())
+        {
+            counts_.limits.push_back(
+                {std::stod(rate_limit_), core::boot_clock::now(), {}});
+        }
+    });
 }
 
 void fake_worker::set_leaving(bool leaving)
@@ -128,6 +135,10 @@
         caller->send_response(make_rejection(421, id));
         return;
     }
+    if (!rate_limit_.empty())
+    {
+        counts_.limits.back().arrivals.push_back(core::boot_clock::now());
+    }
     if (running_ >= options_.slots || fault_ == worker_fault::rejects_requests)
     {
         ++counts_.rejected;
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "http/server.hpp"
 #include "stand_ins/io_context_thread.hpp"
@@ -40,6 +41,15 @@
     crashes,
 };
 
+// A time in which the worker stated one limit.
+struct limit_episode
+{
+    double per_second = 0;
+    core::instant stated_at;
+    // When each request arrived that was not meant for another worker.
+    std::vector<core::instant> arrivals;
+};
+
 struct worker_counts
 {
     // The number of runs of each request, by the id that the caller gave it.
@@ -50,6 +60,7 @@
     // The maximum number of requests that ran at the same time.
     std::size_t max_running = 0;
     std::uint64_t canceled = 0;
+    std::vector<limit_episode> limits;
 };
 
 class fake_worker
