Node: Ignore SIGHUP until it can be handled

Cause: the handler is installed after the settings are read and the traffic thread is created; until then the default action ends the process.

Change: SIGHUP is ignored before the settings are read, so that nothing is missed.

The new test failed before: the process did not ignore SIGHUP while it waited for its settings.

--- a/bench/soak/soak.hpp
+++ b/bench/soak/soak.hpp
@@ -35,6 +35,8 @@
     std::size_t faults = 0;
     // One line for each violation of a guarantee.
     std::vector<std::string> broken;
+    // The logs of the nodes that did not serve after the faults had ended.
+    std::vector<std::string> logs;
 };
 
 soak_result run_soak(soak_options const& options);
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -261,6 +261,9 @@
 
 run_outcome run_node(std::string const& settings_path)
 {
+    // The platform may send SIGHUP while the process starts, which would end
+    // it. The settings are read after this, so that nothing is missed.
+    std::signal(SIGHUP, SIG_IGN);
     auto it = load_settings(settings_path);
     if (!it)
     {
--- a/stand_ins/child_process.cpp
+++ b/stand_ins/child_process.cpp
@@ -20,6 +20,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fmt/format.h>
+
 namespace yuccafall::stand_ins {
 
 namespace {
@@ -156,6 +158,22 @@
     return status_;
 }
 
+bool child_process::survives_reload() const
+{
+    std::ifstream status(fmt::format("/proc/{}/status", pid_));
+    std::uint64_t protected_signals = 0;
+    for (std::string line; std::getline(status, line);)
+    {
+        bool const is_mask = line.compare(0, 7, "SigIgn:") == 0 ||
+                             line.compare(0, 7, "SigCgt:") == 0;
+        if (is_mask)
+        {
+            protected_signals |= std::stoull(line.substr(7), nullptr, 16);
+        }
+    }
+    return ((protected_signals >> (SIGHUP - 1)) & 1) != 0;
+}
+
 core::milliseconds child_process::cpu_time() const
 {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
--- a/stand_ins/child_process.hpp
+++ b/stand_ins/child_process.hpp
@@ -37,6 +37,9 @@
     void kill() const { send_signal(SIGKILL); }
     // Tells the process to read its settings again.
     void reload() const { send_signal(SIGHUP); }
+    // Returns whether the process handles or ignores SIGHUP. One that has just
+    // been started does neither and would end.
+    bool survives_reload() const;
     void pause() const { send_signal(SIGSTOP); }
     void resume() const { send_signal(SIGCONT); }
 
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -1,8 +1,13 @@
 // End-to-end tests. The nodes run as processes of the real program, and the
 // callers, the workers and the platform's store are fakes in this process.
 #include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
+#include <sys/stat.h>
+
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -501,3 +506,30 @@
     }
     REQUIRE(status == 200);
 }
+
+// Guards against a process that ends because it gets SIGHUP while it starts.
+TEST_CASE("a node that starts ignores SIGHUP until it can handle it")
+{
+    std::string directory = "/tmp/yuccafall-XXXXXX";
+    REQUIRE(mkdtemp(directory.data()) != nullptr);
+    auto const settings_path = directory + "/settings";
+    // The node waits at the settings until the test has opened them too.
+    REQUIRE(mkfifo(settings_path.c_str(), 0600) == 0);
+    child_process node({sibling_program_path("yuccafall"), "node",
+                        "--settings=" + settings_path},
+                       directory + "/log");
+    bool protected_from_hangup = false;
+    for (int i = 0; i < 1'000 && !protected_from_hangup; ++i)
+    {
+        protected_from_hangup = node.survives_reload();
+        if (!protected_from_hangup)
+        {
+            REQUIRE_FALSE(node.wait_for(core::milliseconds(10)));
+        }
+    }
+    REQUIRE(protected_from_hangup);
+    node.reload();
+    std::ofstream(settings_path) << "not: settings";
+    REQUIRE(node.wait_for(core::milliseconds(10'000)) == 78);
+    std::filesystem::remove_all(directory);
+}
