--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -467,7 +467,7 @@
                   std::size_t{6} * per_second + 5);
         // The limit is used, and a worker without one may run any call.
         RC_ASSERT(limited.size() >=
-                  std::max<std::size_t>(per_second * 9, std::size_t{5}));
+                  std::max(std::size_t{9} * per_second, std::size_t{5}));
         load.handle(rate_stated{core::rate_unlimited{}}, 12'000);
         RC_ASSERT(load.run(12'000, 13'000).size() >= 95);
     });
