Routing: Serve downloads, and keep to good routes beside unknown words

Change: "download" is a kind of its own, idempotent with a long response. A kind that this version does not know is treated as non-idempotent, with a log line, a metric and a field of the status.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -79,6 +79,9 @@
                 "Calls to the platform's store.", it.store_calls);
     add_counter(out, "yuccafall_configurations_refused_total",
                 "Configurations that were refused whole.", it.refused);
+    add_gauge(out, "yuccafall_routes_of_unknown_kind",
+              "Routes of a kind that this version does not know.",
+              it.unknown_kinds);
     add_gauge(out, "yuccafall_control_peers", "Nodes connected for control.",
               it.peers);
 }
--- a/src/admin/node_state.hpp
+++ b/src/admin/node_state.hpp
@@ -27,6 +27,8 @@
     // Store revision to which the replicated state corresponds.
     core::revision as_of;
     std::size_t routes = 0;
+    // Routes of a kind that this version does not know.
+    std::size_t unknown_kinds = 0;
     std::size_t workers = 0;
     // Whether this node reads the store directly. Other nodes receive the
     // changes from their peers.
--- a/src/admin/response_bodies.cpp
+++ b/src/admin/response_bodies.cpp
@@ -26,6 +26,8 @@
         return "non_idempotent";
     case routing::repeatability::upload:
         return "upload";
+    case routing::repeatability::download:
+        return "download";
     }
     return "unknown";
 }
@@ -129,6 +131,7 @@
                       {"confirmed_ago_ms", control.confirmed_ago.count()},
                       {"as_of", control.as_of.value()},
                       {"routes", control.routes},
+                      {"routes_of_unknown_kind", control.unknown_kinds},
                       {"workers", control.workers},
                       {"peers", control.peers},
                       {"reads_store", control.reads_store},
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -36,6 +36,22 @@
     return "unknown";
 }
 
+// Logs each route whose kind is unknown, up to a limit. The status and the
+// metrics state how many there are.
+void log_unknown_kinds(routing::configuration const& it)
+{
+    constexpr std::size_t max_lines = 8;
+    for (std::size_t i = 0; i < std::min(it.unknown_kinds.size(), max_lines);
+         ++i)
+    {
+        core::log_event(core::log_level::warning, "route_kind_unknown",
+                        {{"version", it.version.value()},
+                         {"route", it.unknown_kinds[i].route.value()},
+                         {"kind", it.unknown_kinds[i].word},
+                         {"treated_as", "non_idempotent"}});
+    }
+}
+
 replication::replicator_settings replicator_settings_of(settings const& it)
 {
     replication::replicator_settings out;
@@ -122,6 +138,7 @@
     {
         it.version = routes_->source_configuration().version;
         it.routes = routes_->source_configuration().routes.size();
+        it.unknown_kinds = routes_->source_configuration().unknown_kinds.size();
         it.applied_ago = std::chrono::duration_cast<core::milliseconds>(
             core::boot_clock::now() - applied_at_);
     }
@@ -301,6 +318,7 @@
          {"confirmed_ago_ms", replicator_.confirmed_ago(applied_at_).count()},
          {"reads_store", replicator_.reads_store()},
          {"routes", routes_->source_configuration().routes.size()}});
+    log_unknown_kinds(routes_->source_configuration());
 }
 
 void control_plane::apply_worker_entry(core::upstream_id const& id,
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -99,6 +99,39 @@
     }
 }
 
+// Guards against a rolling update in which a new word ends the connection to
+// each node of the previous version, with all calls on it.
+TEST_CASE("words of a newer version are read as the strictest known ones")
+{
+    auto const replaced = [](std::string bytes, std::string const& from,
+                             std::string const& to) {
+        auto const at = bytes.find(from);
+        REQUIRE(at != std::string::npos);
+        return bytes.replace(at, from.size(), to);
+    };
+    auto const not_run = decode(replaced(
+        encode(refused{make_call_id(), core::error_kind::leaving,
+                       core::milliseconds(30), true, true, make_load_report()}),
+        "leaving", "frozen!"));
+    REQUIRE(not_run);
+    REQUIRE(std::get<refused>(*not_run).kind == core::error_kind::overloaded);
+    auto const may_have_run = decode(replaced(
+        encode(failed{make_call_id(), core::error_kind::upstream_failed,
+                      "reset", make_load_report()}),
+        "upstream_failed", "upstream_melted"));
+    REQUIRE(may_have_run);
+    REQUIRE(std::get<failed>(*may_have_run).kind ==
+            core::error_kind::upstream_failed);
+    auto offer = make_offer();
+    offer.route = core::route_name("R");
+    offer.repeatability = routing::repeatability::download;
+    auto const newer =
+        decode(replaced(encode(offer), "\xa1R\x03", "\xa1R\x2a"));
+    REQUIRE(newer);
+    REQUIRE(std::get<peers::offer>(*newer).repeatability ==
+            routing::repeatability::non_idempotent);
+}
+
 TEST_CASE("arbitrary bytes decode to a message or fail with bad_frame")
 {
     rc::prop("random bytes", [](std::string const& bytes) {
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -21,11 +21,13 @@
     non_idempotent,
     // The same as non_idempotent, but the request has a large body.
     upload,
+    // The same as idempotent, but the response has a large body.
+    download,
 };
 
 constexpr bool is_idempotent(repeatability it)
 {
-    return it == repeatability::idempotent;
+    return it == repeatability::idempotent || it == repeatability::download;
 }
 
 // A service that gets requests of a route. If a route has several targets,
@@ -57,6 +59,14 @@
     std::vector<target> targets;
 };
 
+// A route whose kind has a name that this version does not know. The route is
+// treated as non_idempotent, the kind that permits least.
+struct unknown_kind
+{
+    core::route_name route;
+    std::string word;
+};
+
 // Limits on the size of a caller's requests, on the time in which the caller
 // has to send the header of a request, and on the time that its connection may
 // be idle.
@@ -76,6 +86,7 @@
     std::vector<route> routes;
     std::set<core::service_name> services;
     caller_limits limits;
+    std::vector<unknown_kind> unknown_kinds;
 };
 
 } // namespace yuccafall::routing
