--- /dev/null
+++ b/src/core/event_loop.cpp
@@ -0,0 +1,27 @@
+// Catches the exceptions of handlers.
+#include "core/event_loop.hpp"
+
+#include <exception>
+
+#include "core/log.hpp"
+
+namespace yuccafall::core {
+
+void run_event_loop(boost::asio::io_context& context, std::string_view name)
+{
+    for (;;)
+    {
+        try
+        {
+            context.run();
+            return;
+        }
+        catch (std::exception const& e)
+        {
+            log_event(log_level::error, "handler_failed",
+                      {{"loop", name}, {"reason", e.what()}});
+        }
+    }
+}
+
+} // namespace yuccafall::core
