--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -152,14 +152,33 @@
                                      retry_delay(now)});
         return;
     }
-    auto const ends_at = now + wait + body_pacer_.transfer_time(job.body_size) +
-                         new_call.expected_service_time;
-    if (wait > core::duration::zero() && ends_at > job.deadline)
+    auto const run_ends_at = now + wait +
+                             body_pacer_.transfer_time(job.body_size) +
+                             new_call.expected_service_time;
+    auto const own_response_time = response_time(job.route);
+    auto const link_wait = own_response_time > core::duration::zero()
+                               ? job.link_backlog + expected_response_time()
+                               : core::duration::zero();
+    auto const ends_at =
+        std::max(run_ends_at, now + link_wait) + own_response_time;
+    bool const must_wait =
+        wait > core::duration::zero() || now + link_wait > run_ends_at;
+    if (must_wait && ends_at > job.deadline)
     {
         out.emplace_back(refuse_call{job.call, core::error_kind::overloaded,
                                      retry_delay(now)});
         return;
     }
+    bool const late_without_link =
+        run_ends_at + own_response_time > job.target_time;
+    if (ends_at > job.target_time && !late_without_link)
+    {
+        out.emplace_back(
+            refuse_call{job.call, core::error_kind::overloaded,
+                        std::clamp(to_milliseconds(link_wait), min_retry_after,
+                                   max_retry_after)});
+        return;
+    }
     bool const late =
         wait > core::duration::zero() && ends_at > job.target_time;
     if (late && !job.nested && waiting_.size() >= max_late_calls())
@@ -174,6 +193,25 @@
     refuse_excess_late_calls(now, out);
 }
 
+core::duration slot_queue::response_time(core::route_name const& route) const
+{
+    return body_pacer_.transfer_time(response_sizes_.expected(route));
+}
+
+core::duration slot_queue::expected_response_time() const
+{
+    core::duration out{};
+    for (auto const& [call, it] : running_)
+    {
+        out += response_time(it.route);
+    }
+    for (auto const& [call, it] : waiting_)
+    {
+        out += response_time(it.job.route);
+    }
+    return out;
+}
+
 core::milliseconds slot_queue::wait_for_bodies() const
 {
     auto bytes = body_pacer_.bytes_in_flight().value();
@@ -263,6 +301,7 @@
     {
         service_times_.observe(found->second.route,
                                now - found->second.started_at);
+        response_sizes_.observe(found->second.route, it.response_size);
     }
     running_.erase(found);
     start_ready_calls(now, out);
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -26,7 +26,9 @@
 // time go ahead of those with a later one. A new call that would have to wait
 // is refused on arrival if another worker is believed to have a free slot, if
 // it would end after its deadline, or if it would end after its target time
-// while many calls are waiting already.
+// while many calls are waiting already. A call ends when its response has
+// crossed the VM's link. A call with a long response is also refused if only
+// the long responses ahead of it make it late.
 #ifndef YUCCAFALL_ADMISSION_SLOT_QUEUE_HPP
 #define YUCCAFALL_ADMISSION_SLOT_QUEUE_HPP
 
@@ -38,6 +40,7 @@
 
 #include "admission/body_pacer.hpp"
 #include "admission/rate_limiter.hpp"
+#include "admission/response_sizes.hpp"
 #include "admission/service_times.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
@@ -66,6 +69,8 @@
     bool awaits_body = false;
     // Size of a body that has yet to cross the network, otherwise 0.
     core::byte_count body_size;
+    // Time until the VM's link has carried the long responses that are ready.
+    core::duration link_backlog{};
 };
 
 // Events that the queue handles.
@@ -92,6 +97,9 @@
 {
     core::call_id call;
     run_result result = run_result::completed;
+    // Size of the response's body. A long response has yet to cross the VM's
+    // link.
+    core::byte_count response_size{};
 };
 // The load that a worker reports with its responses. The numbers cover all
 // calls at the worker, whichever process sent them.
@@ -202,6 +210,9 @@
     // Returns the expected time until the bodies of all waiting calls have
     // arrived, including those that have not been requested yet.
     core::milliseconds wait_for_bodies() const;
+    // Returns the expected time that the link needs for the long responses of
+    // the calls that wait or run.
+    core::duration expected_response_time() const;
     core::bytes_per_second body_rate() const { return body_pacer_.body_rate(); }
 
 private:
@@ -266,6 +277,9 @@
     // call's body have arrived, or zero if that body is already here.
     core::duration wait_for_body(waiting_call const& new_call,
                                  core::instant now) const;
+    // Returns how long the link carries a response of the route, or zero if its
+    // responses are short.
+    core::duration response_time(core::route_name const& route) const;
     void request_bodies(core::instant now, actions& out);
     void remove_waiting_call(core::call_id const& call);
     std::size_t max_late_calls() const;
@@ -278,6 +292,7 @@
     queue_settings settings_;
     body_pacer body_pacer_;
     service_times service_times_;
+    response_sizes response_sizes_;
     rate_limiter rate_limiter_;
     std::map<core::call_id, waiting_call> waiting_;
     std::map<core::call_id, running_call> running_;
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -32,6 +32,7 @@
     bool awaits_body = false;
     char const* route = "r";
     std::uint64_t body_size = 0;
+    long link_backlog = 0;
 };
 
 // Builds a call that is offered at `now`. The target latency and the deadline
@@ -47,6 +48,7 @@
     it.deadline = at(now + options.deadline);
     it.awaits_body = options.awaits_body;
     it.body_size = core::byte_count(options.body_size);
+    it.link_backlog = milliseconds(options.link_backlog);
     return it;
 }
 
@@ -74,6 +76,19 @@
                              at(now));
     }
 
+    // Runs one call of the route, which takes 1 ms and has a response of this
+    // size.
+    void learn_response_size(std::uint64_t n, char const* route,
+                             std::uint64_t size)
+    {
+        job_options options;
+        options.route = route;
+        offer(n, 0, options);
+        queue->handle(
+            run_ended{call(n), run_result::completed, core::byte_count(size)},
+            at(1));
+    }
+
     std::optional<slot_queue> queue;
 };
 
@@ -507,3 +522,52 @@
     REQUIRE(started(f.queue->handle(timer_expired{}, at(1'001))) ==
             call_numbers{2});
 }
+
+// Pattern: exports of 90 kB from workers whose links carry 11 Mbit/s
+// (further-grown). The slots were free, the links were full, and all exports
+// came late.
+TEST_CASE("a long response is refused at once if the link makes it late")
+{
+    // 100 kB take 100 ms at 80 % of the link.
+    fixture f(8, core::bytes_per_second(1'250'000));
+    f.learn_response_size(1, "export", 100'000);
+    job_options options;
+    options.route = "export";
+    options.target_latency = 500;
+    options.link_backlog = 350;
+    REQUIRE(started(f.offer(2, 10, options)) == call_numbers{2});
+    // The response of call 2 has to cross the link as well.
+    auto const refused = refusals(f.offer(3, 10, options));
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused.front().kind == core::error_kind::overloaded);
+    REQUIRE(refused.front().retry_after >= milliseconds(400));
+    REQUIRE(f.queue->expected_response_time() >= milliseconds(99));
+    f.end(2, 20);
+    options.link_backlog = 0;
+    REQUIRE(started(f.offer(4, 20, options)) == call_numbers{4});
+}
+
+TEST_CASE("short responses do not wait for the link")
+{
+    fixture f(8, core::bytes_per_second(1'250'000));
+    f.learn_response_size(1, "export", 100'000);
+    job_options options;
+    options.route = "lookup";
+    options.target_latency = 150;
+    options.link_backlog = 2'000;
+    REQUIRE(started(f.offer(2, 10, options)) == call_numbers{2});
+}
+
+// Guards against a request that is refused for ever because it came back late.
+TEST_CASE("a long response that is late in any case may take the link")
+{
+    fixture f(8, core::bytes_per_second(1'250'000));
+    f.learn_response_size(1, "export", 100'000);
+    job_options options;
+    options.route = "export";
+    options.target_latency = 0;
+    options.link_backlog = 300;
+    REQUIRE(started(f.offer(2, 10, options)) == call_numbers{2});
+    options.link_backlog = 3'000;
+    REQUIRE(refusals(f.offer(3, 10, options)).size() == 1);
+}
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -295,3 +295,55 @@
         {make_upstream("x")}, {core::upstream_id("x")}, {}, at(0), f.random);
     REQUIRE(std::holds_alternative<none_available>(it));
 }
+
+// Pattern: downloads from workers behind narrow links (further-grown). The
+// slots of all workers were free, so their links were not considered.
+TEST_CASE("a long response is asked of a worker whose link is free")
+{
+    fixture f;
+    auto const x = make_upstream("x");
+    auto const y = make_upstream("y");
+    load_report report;
+    report.slots = core::slot_count(6);
+    report.body_rate = core::bytes_per_second(1'000'000);
+    f.scores->record_report(y.id, report, at(0));
+    report.wait_for_bodies = milliseconds(600);
+    f.scores->record_report(x.id, report, at(0));
+    f.scores->record_response_size(core::route_name("export"),
+                                   core::byte_count(90'000));
+    call_traits traits;
+    traits.route = core::route_name("export");
+    traits.long_response = true;
+    REQUIRE(f.count_calls({x, y}, 0, traits).at("y") == 200);
+    traits.route = core::route_name("lookup");
+    traits.long_response = false;
+    REQUIRE(f.count_calls({x, y}, 0, traits).at("x") > 60);
+}
+
+// A response of the worker beside the node crosses one link less.
+TEST_CASE("a long response is asked of the worker beside the node first")
+{
+    choice_settings settings;
+    settings.own_data_centre = core::data_centre("a");
+    auto own = make_upstream("own");
+    own.node.port = core::port_number(7);
+    settings.own_node = own.node;
+    upstream_scores scores(settings);
+    auto const other = make_upstream("other");
+    load_report report;
+    report.slots = core::slot_count(6);
+    report.body_rate = core::bytes_per_second(1'000'000);
+    scores.record_report(own.id, report, at(0));
+    scores.record_report(other.id, report, at(0));
+    scores.record_response_size(core::route_name("export"),
+                                core::byte_count(90'000));
+    call_traits traits;
+    traits.route = core::route_name("export");
+    traits.long_response = true;
+    core::random_source random{7};
+    for (int i = 0; i < 100; ++i)
+    {
+        auto const it = scores.choose({other, own}, {}, traits, at(0), random);
+        REQUIRE(std::get<chosen>(it).target->id == own.id);
+    }
+}
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -60,6 +60,23 @@
     run_time_ratio += worker_sample_weight * (ratio - run_time_ratio);
 }
 
+void upstream_scores::record_response_size(core::route_name const& route,
+                                           core::byte_count size)
+{
+    auto const bytes = static_cast<double>(size.value());
+    auto& mean = mean_response_sizes_.try_emplace(route, bytes).first->second;
+    mean += route_sample_weight * (bytes - mean);
+}
+
+core::byte_count
+upstream_scores::mean_response_size(core::route_name const& route) const
+{
+    auto const found = mean_response_sizes_.find(route);
+    return core::byte_count(found == mean_response_sizes_.end()
+                                ? 0
+                                : static_cast<std::uint64_t>(found->second));
+}
+
 void upstream_scores::record_ended(core::upstream_id const& id, outcome result,
                                    core::instant now)
 {
@@ -167,6 +184,13 @@
             settings_.cross_data_centre_cost +
             settings_.cross_data_centre_cost_per_kb *
                 static_cast<long>(traits.body_size.value() / 1024);
+        if (traits.long_response)
+        {
+            out.time_to_response +=
+                settings_.cross_data_centre_cost_per_kb *
+                static_cast<long>(mean_response_size(traits.route).value() /
+                                  1024);
+        }
     }
     auto const mean_run_time = mean_run_time_ms(traits.route);
     auto const found = states_.find(candidate.id);
@@ -213,8 +237,23 @@
             1000.0 * static_cast<double>(traits.body_size.value()) /
             static_cast<double>(load.body_rate.value()));
     }
-    out.time_to_response +=
+    auto const run_ends_after =
         out.time_to_slot + duration_from_ms(expected_run_time_ms);
+    out.time_to_response += run_ends_after;
+    if (traits.long_response && candidate.node != settings_.own_node &&
+        load.body_rate.value() > 0)
+    {
+        auto const transfer_time = duration_from_ms(
+            1000.0 *
+            static_cast<double>(mean_response_size(traits.route).value()) /
+            static_cast<double>(load.body_rate.value()));
+        core::duration const link_wait =
+            load.wait_for_bodies - (now - state.reported_at) +
+            transfer_time * static_cast<long>(unreported_count);
+        out.time_to_response +=
+            std::max(link_wait - run_ends_after, core::duration::zero()) +
+            transfer_time;
+    }
     if (load.rejection_share > rejection_penalty_threshold)
     {
         out.time_to_response += rejection_penalty;
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -50,8 +50,9 @@
     // waiting calls (front) or behind all of them (back).
     core::milliseconds wait_at_front{0};
     core::milliseconds wait_at_back{0};
-    // Expected time until the bodies of all waiting calls have arrived at the
-    // node beside the worker, and the rate at which bodies arrive there. The
+    // Expected time until the link of the worker's VM has carried the long
+    // bodies of all calls that wait or run, and the rate at which it carries
+    // them. Both directions count, and the longer one determines the time. The
     // rate is 0 if it is not known.
     core::milliseconds wait_for_bodies{0};
     core::bytes_per_second body_rate{0};
@@ -87,10 +88,14 @@
 struct choice_settings
 {
     core::data_centre own_data_centre;
+    // The node that chooses. The response of the worker beside it crosses no
+    // link between nodes.
+    core::endpoint own_node;
     // Added to the expected response time of a worker in another data centre.
     // It stands for the round trip and the cost of the traffic.
     core::milliseconds cross_data_centre_cost{40};
-    // Added in the same way for each kilobyte of the request's body.
+    // Added in the same way for each kilobyte of the request's and of the
+    // response's body.
     core::milliseconds cross_data_centre_cost_per_kb{1};
     // A load report is taken not to include calls that this node sent less than
     // this time before the report arrived.
@@ -133,6 +138,9 @@
     bool body_follows = false;
     // True for a nested call, which goes ahead of other calls at the worker.
     bool nested = false;
+    // True if the response is expected to be long, so that it waits until the
+    // link of the worker's VM has carried those before it.
+    bool long_response = false;
 };
 
 // Not thread-safe: each object is used on one thread only, the traffic thread,
@@ -161,6 +169,13 @@
     void record_run(core::upstream_id const& id, core::route_name const& route,
                     core::milliseconds run_time);
 
+    // Records the size of the body of a response.
+    void record_response_size(core::route_name const& route,
+                              core::byte_count size);
+    // Returns the moving average of the route's response sizes, or 0 if the
+    // route has not run yet.
+    core::byte_count mean_response_size(core::route_name const& route) const;
+
     // Records that the worker has stated in a response that it leaves. It is
     // not chosen again.
     void record_leaving(upstream const& it, core::instant now);
@@ -227,6 +242,8 @@
     // Moving average of the run time of each route over all upstreams, in
     // milliseconds.
     std::map<core::route_name, double> mean_run_times_ms_;
+    // Moving average of the response size of each route, in bytes.
+    std::map<core::route_name, double> mean_response_sizes_;
 };
 
 } // namespace yuccafall::balancing
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -195,7 +195,6 @@
         parser = std::make_unique<parser_type>();
         set_limits(*parser, limits);
         parser->skip(is_head_request);
-        started = false;
     }
 
     bool is_interim() const
@@ -249,6 +248,11 @@
 
 core::result<parse_progress> response_reader::parse_eof()
 {
+    if (!state_->parser->got_some())
+    {
+        return core::failure(error_kind::truncated_answer,
+                             "the connection was closed before the response");
+    }
     error_code ec;
     state_->parser->put_eof(ec);
     if (ec || !state_->parser->is_done())
--- a/src/http/readers.hpp
+++ b/src/http/readers.hpp
@@ -72,8 +72,7 @@
     // which completes a response that has no length.
     core::result<parse_progress> parse_eof();
 
-    // Returns whether any bytes have been received. An interim response resets
-    // this to false.
+    // Returns whether any bytes have been received, be it an interim response.
     bool started() const;
     // Returns the response. It must be called only once, after the response is
     // complete.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -39,6 +39,7 @@
 server_connection::~server_connection()
 {
     set_buffered_bytes(0);
+    set_counts_as_open(false);
     server_->remove_connection(this);
 }
 
@@ -55,6 +56,14 @@
     server_->buffered_bytes_ -= std::exchange(buffered_bytes_, bytes);
 }
 
+void server_connection::set_counts_as_open(bool it)
+{
+    if (std::exchange(counts_as_open_, it) != it)
+    {
+        server_->requests_open_ += it ? 1 : -1;
+    }
+}
+
 void server_connection::enter_phase(phase it)
 {
     phase_ = it;
@@ -206,7 +215,7 @@
     keep_alive_ = message.keep_alive;
     is_head_request_ = message.method == "HEAD";
     set_buffered_bytes(message.body.size());
-    ++server_->requests_open_;
+    set_counts_as_open(true);
     server_->last_request_received_at_ = request_received_at_;
     enter_phase(phase::responding);
     // Reading detects a caller that disconnects while the request is being
@@ -233,7 +242,6 @@
         return;
     }
     disconnect_handler_ = nullptr;
-    --server_->requests_open_;
     set_buffered_bytes(0);
     bool const keep_alive = keep_alive_ && it.keep_alive && !server_->draining_;
     write(serialize(it, {keep_alive, is_head_request_}), !keep_alive);
@@ -246,25 +254,72 @@
         return;
     }
     response_bytes_ = std::move(bytes);
-    asio::async_write(socket_, asio::buffer(response_bytes_),
-                      [self = shared_from_this(),
-                       close_after_write](error_code const& ec, std::size_t) {
-                          self->response_bytes_ = {};
-                          if (ec)
-                          {
-                              self->close();
-                              return;
-                          }
-                          if (close_after_write)
-                          {
-                              self->start_lingering_close();
-                              return;
-                          }
-                          self->reader_.emplace(self->server_->settings_.sizes);
-                          self->head_handled_ = false;
-                          self->enter_phase(phase::idle);
-                          self->parse_received_bytes();
-                      });
+    response_bytes_written_ = 0;
+    auto const size = response_bytes_.size();
+    if (server_->settings_.link &&
+        size > transport::max_unpaced_message.value())
+    {
+        ticket_ = server_->settings_.link->open(core::byte_count(size));
+        write_next_part(close_after_write);
+        return;
+    }
+    write_part(size, close_after_write);
+}
+
+void server_connection::write_next_part(bool close_after_write)
+{
+    server_->settings_.link->request(
+        *ticket_,
+        [self = shared_from_this(), close_after_write](core::byte_count size) {
+            self->write_part(size.value(), close_after_write);
+        });
+}
+
+void server_connection::write_part(std::size_t size, bool close_after_write)
+{
+    asio::async_write(
+        socket_,
+        asio::buffer(response_bytes_.data() + response_bytes_written_, size),
+        [self = shared_from_this(), close_after_write](error_code const& ec,
+                                                       std::size_t n) {
+            self->response_bytes_written_ += n;
+            if (ec || !self->open_)
+            {
+                self->close();
+                return;
+            }
+            if (self->response_bytes_written_ < self->response_bytes_.size())
+            {
+                self->write_next_part(close_after_write);
+                return;
+            }
+            self->on_response_written(close_after_write);
+        });
+}
+
+void server_connection::on_response_written(bool close_after_write)
+{
+    response_bytes_ = {};
+    release_ticket();
+    set_counts_as_open(false);
+    if (close_after_write)
+    {
+        start_lingering_close();
+        return;
+    }
+    reader_.emplace(server_->settings_.sizes);
+    head_handled_ = false;
+    enter_phase(phase::idle);
+    parse_received_bytes();
+}
+
+void server_connection::release_ticket()
+{
+    if (ticket_)
+    {
+        server_->settings_.link->close(*ticket_);
+        ticket_.reset();
+    }
 }
 
 // Closing a socket that has unread bytes resets the connection, and the peer
@@ -284,7 +339,6 @@
 {
     if (phase_ == phase::responding && disconnect_handler_)
     {
-        --server_->requests_open_;
         set_buffered_bytes(0);
         std::exchange(disconnect_handler_, nullptr)();
     }
@@ -295,6 +349,8 @@
 {
     open_ = false;
     phase_ = phase::closing;
+    release_ticket();
+    set_counts_as_open(false);
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -20,6 +20,7 @@
 #include "core/units.hpp"
 #include "http/message.hpp"
 #include "http/readers.hpp"
+#include "transport/paced_link.hpp"
 
 namespace yuccafall::http {
 
@@ -36,6 +37,9 @@
     // take together. While they exceed the limit, a request whose body has not
     // arrived completely is rejected before the rest of the body is read.
     core::byte_count request_memory_limit{48UL * 1024 * 1024};
+    // Responses that are longer than transport::max_unpaced_message are sent in
+    // parts that this link grants. Null if responses are sent at once.
+    std::shared_ptr<transport::paced_link> link;
 };
 
 class server;
@@ -88,9 +92,16 @@
     void on_request_complete();
     void send_error(core::error const& why);
     void write(std::string bytes, bool close_after_write);
+    // Sends the rest of a response that the link paces.
+    void write_next_part(bool close_after_write);
+    void write_part(std::size_t size, bool close_after_write);
+    void on_response_written(bool close_after_write);
+    // Gives the link's ticket of the current response back.
+    void release_ticket();
     void on_caller_disconnected();
     void start_lingering_close();
     void set_buffered_bytes(std::size_t bytes);
+    void set_counts_as_open(bool it);
 
     static constexpr std::size_t read_size = 8UL * 1024;
     // While a request is being handled, the server reads further requests of
@@ -106,12 +117,18 @@
     std::array<char, read_size> read_buffer_{};
     std::string unparsed_bytes_;
     std::string response_bytes_;
+    // Number of bytes of a paced response that have been written, and its
+    // ticket. The ticket is empty if no paced response is being written.
+    std::size_t response_bytes_written_ = 0;
+    std::optional<transport::link_ticket> ticket_;
     std::optional<request_reader> reader_;
     std::function<void()> disconnect_handler_;
     core::instant request_received_at_{};
     phase phase_ = phase::idle;
     bool keep_alive_ = true;
     bool is_head_request_ = false;
+    // Whether the current request counts in server::requests_open_.
+    bool counts_as_open_ = false;
     // Whether on_head_complete() has run for the current request.
     bool head_handled_ = false;
     bool read_pending_ = false;
@@ -150,6 +167,7 @@
     void stop();
 
     std::size_t connections() const { return connections_.size(); }
+    // Returns the number of requests whose response has not been written yet.
     std::size_t requests_open() const { return requests_open_; }
     // Returns the time at which the last request was received completely.
     core::instant last_request_received_at() const
--- a/src/http/tests/readers_test.cpp
+++ b/src/http/tests/readers_test.cpp
@@ -233,3 +233,41 @@
     REQUIRE(in.body == out.body);
     REQUIRE(*find_header(in.headers, "a") == "b");
 }
+
+// Report of other operators: a worker stopped in the middle of the head of its
+// response and closed, and clients got a 200 with an empty body.
+TEST_CASE("a response that ends at any byte is not complete")
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nResponse-Id: 7\r\n";
+    std::string const with_length =
+        head + "Content-Length: 5\r\n\r\n" + "hello";
+    std::string const chunked = head + "Transfer-Encoding: chunked\r\n\r\n" +
+                                "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+    std::string const until_close = head + "\r\n";
+    std::string const interim = "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n";
+    for (auto const& prefix : {std::string(), interim, interim + interim})
+    {
+        for (auto const& whole : {with_length, chunked, until_close})
+        {
+            auto const bytes = prefix + whole;
+            for (std::size_t n = 1; n < bytes.size(); ++n)
+            {
+                CAPTURE(bytes, n);
+                // The bytes may come in one read, or one at a time.
+                for (auto const step : {bytes.size(), std::size_t(1)})
+                {
+                    response_reader it({}, false);
+                    std::string buffer;
+                    for (std::size_t i = 0; i < n; i += step)
+                    {
+                        buffer += bytes.substr(i, std::min(step, n - i));
+                        REQUIRE(*it.parse(buffer) ==
+                                parse_progress::needs_more_data);
+                    }
+                    REQUIRE(it.started());
+                    REQUIRE_FALSE(it.parse_eof());
+                }
+            }
+        }
+    }
+}
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -7,6 +7,7 @@
 
 #include "core/log.hpp"
 #include "core/overloaded.hpp"
+#include "ingress/drain_admission.hpp"
 
 namespace yuccafall::ingress {
 
@@ -22,7 +23,7 @@
 
 // A larger body is sent only after the other node has asked for it, and over a
 // separate connection.
-constexpr std::size_t max_inline_body = 8UL * 1024;
+constexpr std::size_t max_inline_body = transport::max_unpaced_message.value();
 
 balancing::outcome outcome_of_refusal(error_kind kind)
 {
@@ -67,10 +68,20 @@
     caller_connection_->on_disconnect(
         [self = shared_from_this()] { self->on_caller_disconnected(); });
     ingress_->retry_budget_.record_request(service_, arrived_at_);
+    ingress_->open_calls_.insert(this);
     start_deadline_timer();
     try_next_upstream();
 }
 
+void call::limit_deadline(core::instant deadline)
+{
+    if (deadline < deadline_)
+    {
+        deadline_ = deadline;
+        start_deadline_timer();
+    }
+}
+
 core::result<void> call::resolve_route()
 {
     auto const metadata =
@@ -95,7 +106,6 @@
             "no route matches the host and path of the request");
     }
     service_ = ingress_->weighted_split_.next(*route_);
-    nested_ = route_->timeout <= ingress_->settings_.max_nested_timeout;
     auto const stated_timeout = metadata.timeout.value_or(route_->timeout);
     auto const timeout = std::min(stated_timeout, route_->timeout);
     if (timeout.count() <= 0)
@@ -104,11 +114,26 @@
                              "the caller's timeout has already expired");
     }
     deadline_ = arrived_at_ + timeout;
+    if (ingress_->calls_end_at_)
+    {
+        auto const deadline = deadline_while_draining(arrived_at_, deadline_,
+                                                      route_->target_latency,
+                                                      *ingress_->calls_end_at_);
+        if (!deadline)
+        {
+            return core::failure(
+                error_kind::leaving,
+                "the node ends before the request would be sure to end");
+        }
+        deadline_ = *deadline;
+    }
     // The target latency counts from the first time that the caller sent the
     // request.
     target_time_ = arrived_at_ + route_->target_latency -
                    ingress_->caller_timeouts_.time_since_first_request(
                        route_->name, stated_timeout);
+    nested_ = ingress_->caller_timeouts_.is_nested(
+        route_->name, ingress_->settings_.max_nested_timeout);
     if (is_poisoned())
     {
         return core::failure(error_kind::poisoned,
@@ -133,6 +158,12 @@
                request_.method, request_.target, request_.body)) != 0;
 }
 
+bool call::expects_long_response() const
+{
+    return ingress_->upstream_scores_.mean_response_size(route_->name) >
+           transport::max_unpaced_message;
+}
+
 void call::try_next_upstream()
 {
     // Another node may have reported a crash since the last attempt.
@@ -146,9 +177,10 @@
         return;
     }
     auto const now = core::boot_clock::now();
-    balancing::call_traits const traits{
-        route_->name, core::byte_count(request_.body.size()),
-        request_.body.size() > max_inline_body, nested_};
+    balancing::call_traits const traits{route_->name,
+                                        core::byte_count(request_.body.size()),
+                                        request_.body.size() > max_inline_body,
+                                        nested_, expects_long_response()};
     auto const found = ingress_->upstream_scores_.choose(
         *upstreams_, tried_upstreams_, traits, now, ingress_->random_);
     std::visit(
@@ -173,7 +205,7 @@
     attempt_id_ =
         core::call_id{ingress_->incarnation_, ++ingress_->last_call_number_};
     bool const sends_body_separately = request_.body.size() > max_inline_body;
-    peer_link_ = {target.node, sends_body_separately
+    peer_link_ = {target.node, sends_body_separately || expects_long_response()
                                    ? peers::traffic_class::long_bodies
                                    : peers::traffic_class::short_messages};
     peers::offer offer;
@@ -253,6 +285,8 @@
                                              core::boot_clock::now());
     ingress_->upstream_scores_.record_run(upstream_->id, route_->name,
                                           it.run_time);
+    ingress_->upstream_scores_.record_response_size(
+        route_->name, core::byte_count(it.http_response.body.size()));
     close_attempt(balancing::outcome::answered);
     send_worker_response(std::move(it.http_response), it.run_time);
 }
@@ -504,6 +538,7 @@
 void call::finish()
 {
     deadline_timer_.cancel();
+    ingress_->open_calls_.erase(this);
     request_ = {};
     caller_connection_.reset();
 }
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -37,10 +37,15 @@
          http::request request);
 
     void start();
+    // Ends the call at this time if its deadline is later.
+    void limit_deadline(core::instant deadline);
 
 private:
     core::result<void> resolve_route();
     bool is_poisoned() const;
+    // Returns whether the responses of the route are usually so long that they
+    // are sent in parts.
+    bool expects_long_response() const;
     void try_next_upstream();
     void send_offer(balancing::chosen const& choice);
     void on_message(peers::message it);
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -2,7 +2,6 @@
 #include "ingress/ingress.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -25,6 +24,7 @@
 {
     balancing::choice_settings out;
     out.own_data_centre = it.data_centre;
+    out.own_node = it.own_node;
     return out;
 }
 
@@ -33,10 +33,11 @@
 ingress::ingress(boost::asio::io_context& context, ingress_settings settings,
                  metadata::header_codec header_codec,
                  std::shared_ptr<peers::peer_links> links,
-                 std::shared_ptr<counters> counters)
+                 std::shared_ptr<counters> counters,
+                 std::shared_ptr<transport::paced_link> link)
     : context_(context), settings_(std::move(settings)),
       header_codec_(header_codec), links_(std::move(links)),
-      counters_(std::move(counters)),
+      counters_(std::move(counters)), link_(std::move(link)),
       upstream_scores_(choice_settings_for(settings_)),
       retry_budget_(settings_.retry_budget), random_(settings_.seed),
       incarnation_(random_.next())
@@ -65,6 +66,7 @@
     server_ = std::move(*opened);
     auto settings = server_->settings();
     settings.request_memory_limit = settings_.request_memory_limit;
+    settings.link = link_;
     server_->set_settings(settings);
     links_->on_load_update(
         [weak = weak_from_this()](core::upstream_id const& of,
@@ -106,9 +108,14 @@
     server_->set_settings(settings);
 }
 
-void ingress::start_draining()
+void ingress::start_draining(core::instant calls_end_at)
 {
+    calls_end_at_ = calls_end_at;
     server_->start_draining();
+    for (auto* it : open_calls_)
+    {
+        it->limit_deadline(calls_end_at);
+    }
 }
 
 http::response ingress::error_response(core::error const& why,
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -33,12 +35,14 @@
     core::service_name service;
     core::data_centre data_centre;
     core::endpoint listen_endpoint;
+    // Where other nodes offer calls to the worker beside this node.
+    core::endpoint own_node;
     // Maximum memory of all buffered requests together.
     core::byte_count request_memory_limit{48UL * 1024 * 1024};
     retries::budget_settings retry_budget;
-    // Calls on a route with a timeout up to this one count as nested calls,
-    // that is, calls that a worker makes while it runs another request. Nothing
-    // else distinguishes a worker's calls from those of other callers.
+    // Calls with a timeout up to this one count as nested calls, which a worker
+    // makes while it runs another request, until the node has seen callers with
+    // other timeouts.
     core::milliseconds max_nested_timeout{700};
     // Seed of the random numbers for the choice of upstreams.
     std::uint64_t seed = 0;
@@ -53,7 +57,8 @@
     ingress(boost::asio::io_context& context, ingress_settings settings,
             metadata::header_codec header_codec,
             std::shared_ptr<peers::peer_links> links,
-            std::shared_ptr<counters> counters);
+            std::shared_ptr<counters> counters,
+            std::shared_ptr<transport::paced_link> link = nullptr);
 
     core::result<void> listen();
     core::endpoint local() const { return server_->local(); }
@@ -62,8 +67,9 @@
     void set_view(std::shared_ptr<traffic_view const> view);
 
     // From now on the connection of a caller is closed after its next response.
-    // New requests are still served.
-    void start_draining();
+    // Open calls end at `calls_end_at` at the latest, and new requests that
+    // need longer are refused.
+    void start_draining(core::instant calls_end_at);
     // Refuses new requests from now on, so that the accepted ones can finish
     // before the process exits.
     void stop_accepting_requests() { accepting_requests_ = false; }
@@ -87,6 +93,8 @@
     metadata::header_codec header_codec_;
     std::shared_ptr<peers::peer_links> links_;
     std::shared_ptr<counters> counters_;
+    // Paces long responses to callers. May be null.
+    std::shared_ptr<transport::paced_link> link_;
     std::shared_ptr<http::server> server_;
     std::shared_ptr<traffic_view const> view_;
     balancing::upstream_scores upstream_scores_;
@@ -97,6 +105,10 @@
     // Distinguishes the call ids of this process from those of other ones.
     core::incarnation const incarnation_;
     std::uint64_t last_call_number_ = 0;
+    // Calls that have not ended. A call removes itself when it ends.
+    std::set<call*> open_calls_;
+    // When the last call must have its response. Empty until the node drains.
+    std::optional<core::instant> calls_end_at_;
     bool accepting_requests_ = true;
 };
 
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -13,9 +13,12 @@
 #include <fmt/format.h>
 
 #include "admin/admin_server.hpp"
+#include "core/event_loop.hpp"
 #include "core/log.hpp"
+#include "core/overloaded.hpp"
 #include "http/server.hpp"
 #include "node/control_plane.hpp"
+#include "node/drain_schedule.hpp"
 #include "node/settings.hpp"
 #include "node/traffic_plane.hpp"
 #include "platform/headers.hpp"
@@ -26,30 +29,6 @@
 
 namespace {
 
-// Minimum duration of the drain, unless the time that the platform allows is
-// shorter. The platform checks readiness once a second and sends no new callers
-// to the node after two failed checks. The node waits this long for requests of
-// callers that were sent to it before that.
-constexpr core::milliseconds min_drain_time{2'800};
-
-// How long a draining node still passes calls to its worker. The worker keeps
-// running while the node drains, so its slots are used until shortly before the
-// node can exit.
-constexpr core::milliseconds worker_drain_delay{1'800};
-
-// If no new request has arrived for this long, all callers are assumed to have
-// moved to other nodes.
-constexpr core::milliseconds quiet_period{700};
-
-// Part of the time that the platform allows for the drain. It is reserved for
-// the process to exit.
-constexpr core::milliseconds exit_reserve{800};
-
-// Share of the time that the platform allows for the drain in which new
-// requests are still accepted. The rest of the time is longer than the longest
-// timeout of any route in use, so that accepted requests can finish.
-constexpr core::percentage accepting_share{50};
-
 constexpr core::milliseconds drain_poll_interval{100};
 
 class node_process
@@ -75,7 +54,7 @@
             return run_outcome::start_failed;
         }
         wait_for_signal();
-        context_.run();
+        core::run_event_loop(context_, "control");
         traffic_.stop();
         core::log_event(core::log_level::info, "node_stopped",
                         {{"vm", settings_.vm.value()}});
@@ -136,7 +115,7 @@
         admin::node_state it;
         it.identity = {settings_.vm, settings_.service, settings_.data_centre};
         it.control = control_->status();
-        it.control.leaving = draining_since_.has_value();
+        it.control.leaving = drain_.has_value();
         it.view = control_->view();
         it.ingress_counters = traffic_.ingress_counters();
         it.upstream_counters = traffic_.upstream_counters();
@@ -145,7 +124,7 @@
 
     http::response readiness() const
     {
-        bool const ready = control_ && control_->is_ready() && !draining_since_;
+        bool const ready = control_ && control_->is_ready() && !drain_;
         http::response it;
         it.status = ready ? 200 : 503;
         return it;
@@ -188,14 +167,16 @@
 
     void start_draining()
     {
-        if (draining_since_)
+        if (drain_)
         {
             return;
         }
-        draining_since_ = core::boot_clock::now();
+        drain_settings drain;
+        drain.max_time = settings_.max_drain_time;
+        drain_.emplace(drain, core::boot_clock::now());
         core::log_event(core::log_level::info, "drain_started",
                         {{"vm", settings_.vm.value()}});
-        traffic_.start_draining();
+        traffic_.start_draining(drain_->calls_end_at());
         schedule_drain_check();
     }
 
@@ -215,34 +196,32 @@
 
     void continue_drain(traffic_state const& state)
     {
-        auto const now = core::boot_clock::now();
-        auto const drain_time = now - *draining_since_;
-        if (drain_time >= worker_drain_delay)
-        {
-            traffic_.drain_worker();
-        }
-        if (drain_time >= settings_.max_drain_time *
-                              static_cast<long>(accepting_share.value()) / 100)
+        for (auto const& it : drain_->handle(state, core::boot_clock::now()))
         {
-            traffic_.stop_accepting_requests();
+            std::visit(
+                core::overloaded{
+                    [&](drain_worker const&) { traffic_.drain_worker(); },
+                    [&](refuse_requests const&) {
+                        traffic_.stop_accepting_requests();
+                    },
+                    [&](end_process const&) { end_drain(state); }},
+                it);
         }
-        bool const idle = state.requests_open == 0 && state.running == 0;
-        bool const quiet = drain_time >= min_drain_time &&
-                           now - state.last_request >= quiet_period;
-        bool const out_of_time =
-            drain_time + exit_reserve >= settings_.max_drain_time;
-        if ((idle && quiet) || out_of_time)
+        if (!context_.stopped())
         {
-            core::log_event(core::log_level::info, "drain_ended",
-                            {{"requests_open", state.requests_open},
-                             {"running", state.running}});
-            control_->stop();
-            readiness_server_->stop();
-            admin_server_->stop();
-            context_.stop();
-            return;
+            schedule_drain_check();
         }
-        schedule_drain_check();
+    }
+
+    void end_drain(traffic_state const& state)
+    {
+        core::log_event(core::log_level::info, "drain_ended",
+                        {{"requests_open", state.requests_open},
+                         {"running", state.running}});
+        control_->stop();
+        readiness_server_->stop();
+        admin_server_->stop();
+        context_.stop();
     }
 
     settings settings_;
@@ -254,7 +233,8 @@
     std::shared_ptr<control_plane> control_;
     std::shared_ptr<http::server> readiness_server_;
     std::shared_ptr<admin::admin_server> admin_server_;
-    std::optional<core::instant> draining_since_;
+    // Empty until SIGTERM.
+    std::optional<drain_schedule> drain_;
 };
 
 } // namespace
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "core/event_loop.hpp"
+
 namespace yuccafall::node {
 
 namespace asio = boost::asio;
@@ -33,6 +35,7 @@
     out.service = it.service;
     out.data_centre = it.data_centre;
     out.listen_endpoint = it.callers;
+    out.own_node = it.traffic;
     out.request_memory_limit =
         core::byte_count(it.memory_limit.value() / request_memory_divisor);
     out.retry_budget = it.retries;
@@ -58,6 +61,13 @@
 
 core::result<void> traffic_plane::start()
 {
+    if (settings_.link_bandwidth.value() > 0)
+    {
+        transport::link_pacer_settings pacing;
+        pacing.bandwidth = settings_.link_bandwidth;
+        link_ = std::make_shared<transport::paced_link>(context_.get_executor(),
+                                                        pacing);
+    }
     owner_ = std::make_shared<upstream::worker_owner>(
         context_,
         upstream::worker_owner_settings{
@@ -65,7 +75,7 @@
             core::byte_count(settings_.memory_limit.value() /
                              response_memory_divisor),
             core::incarnation(random_seed())},
-        header_codec_, on_crash_notice_, upstream_counters_);
+        header_codec_, on_crash_notice_, upstream_counters_, link_);
     auto peer_server = peers::peer_server::listen(
         context_, settings_.traffic,
         {[owner = owner_](peers::session_id from, peers::message message,
@@ -74,21 +84,25 @@
          },
          [owner = owner_](peers::session_id session) {
              owner->on_session_closed(session);
-         }});
+         }},
+        link_);
     if (!peer_server)
     {
         return tl::unexpected(peer_server.error());
     }
     peer_server_ = std::move(*peer_server);
+    peers::peer_link_settings link_settings;
+    link_settings.link = link_;
     peer_links_ = std::make_shared<peers::peer_links>(
         context_, settings_.traffic,
         [owner = owner_](peers::message message, peers::reply_function reply) {
             owner->handle(upstream::local_session, std::move(message),
                           std::move(reply));
-        });
+        },
+        link_settings);
     ingress_ = std::make_shared<ingress::ingress>(
         context_, ingress_settings_of(settings_), header_codec_, peer_links_,
-        ingress_counters_);
+        ingress_counters_, link_);
     if (auto listening = ingress_->listen(); !listening)
     {
         return listening;
@@ -100,7 +114,8 @@
     sigset_t previous_mask;
     sigfillset(&all_signals);
     pthread_sigmask(SIG_SETMASK, &all_signals, &previous_mask);
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ =
+        std::thread([this] { core::run_event_loop(context_, "traffic"); });
     pthread_sigmask(SIG_SETMASK, &previous_mask, nullptr);
     return {};
 }
@@ -113,9 +128,11 @@
     });
 }
 
-void traffic_plane::start_draining()
+void traffic_plane::start_draining(core::instant calls_end_at)
 {
-    asio::post(context_, [this] { ingress_->start_draining(); });
+    asio::post(context_, [this, calls_end_at] {
+        ingress_->start_draining(calls_end_at);
+    });
 }
 
 void traffic_plane::drain_worker()
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -14,22 +14,13 @@
 
 #include "ingress/ingress.hpp"
 #include "metadata/header_codec.hpp"
+#include "node/drain_schedule.hpp"
 #include "node/settings.hpp"
 #include "peers/peer_server.hpp"
 #include "upstream/worker_owner.hpp"
 
 namespace yuccafall::node {
 
-struct traffic_state
-{
-    // Number of callers' requests that have not got a response yet.
-    std::size_t requests_open = 0;
-    // Number of calls that are running in the worker.
-    std::size_t running = 0;
-    // When the last request of a caller arrived.
-    core::instant last_request{};
-};
-
 // Public functions must be called on the control thread.
 class traffic_plane
 {
@@ -44,8 +35,9 @@
 
     void publish(std::shared_ptr<ingress::traffic_view const> view);
     // Closes callers' connections after their next response, so that callers
-    // move to other nodes. Requests are still served.
-    void start_draining();
+    // move to other nodes. Requests that can have their response until
+    // `calls_end_at` are still served.
+    void start_draining(core::instant calls_end_at);
     // Refuses new and waiting calls to the worker, whether they come from this
     // node's callers or from other nodes. Calls that are running finish.
     void drain_worker();
@@ -75,6 +67,8 @@
     std::optional<boost::asio::executor_work_guard<
         boost::asio::io_context::executor_type>>
         work_guard_;
+    // Null if the bandwidth of the VM's link is not known.
+    std::shared_ptr<transport::paced_link> link_;
     std::shared_ptr<upstream::worker_owner> owner_;
     std::shared_ptr<peers::peer_server> peer_server_;
     std::shared_ptr<peers::peer_links> peer_links_;
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -41,6 +41,7 @@
     {
         transport::connection_options options;
         options.idle_timeout = settings_.idle_timeout;
+        options.link = settings_.link;
         transport::frame_connection::connect(
             context_.get_executor(), key_.node,
             transport::channel_kind::traffic, options,
@@ -195,8 +196,13 @@
         {
             return;
         }
+        // A long frame may take longer to arrive than the timeout, so its parts
+        // count as well.
+        auto const last_received =
+            connection_ ? std::max(last_received_, connection_->last_read())
+                        : last_received_;
         auto const since_last_received =
-            core::boot_clock::now() - last_received_;
+            core::boot_clock::now() - last_received;
         if (connection_ && since_last_received >= settings_.liveness_timeout)
         {
             connection_->close(
--- a/src/peers/peer_links.hpp
+++ b/src/peers/peer_links.hpp
@@ -71,6 +71,8 @@
     // A connection is closed after this long without a frame in either
     // direction.
     core::milliseconds idle_timeout{60'000};
+    // Paces the long bodies that are sent to other nodes. May be null.
+    std::shared_ptr<transport::paced_link> link;
 };
 
 // Opens links to other nodes on demand and passes each received message to the
--- a/src/peers/peer_server.hpp
+++ b/src/peers/peer_server.hpp
@@ -34,9 +34,11 @@
 class peer_server : public std::enable_shared_from_this<peer_server>
 {
 public:
+    // The link paces the long responses of all sessions. It may be null.
     static core::result<std::shared_ptr<peer_server>>
     listen(boost::asio::io_context& context, core::endpoint const& at,
-           session_handlers handlers);
+           session_handlers handlers,
+           std::shared_ptr<transport::paced_link> link = nullptr);
 
     explicit peer_server(session_handlers handlers)
         : handlers_(std::move(handlers))
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -59,7 +59,7 @@
                                    connection_options options)
     : socket_(std::move(socket)), idle_timer_(socket_.get_executor()),
       options_(options), reader_(frame_limit_of(kind)),
-      last_activity_(core::boot_clock::now())
+      last_activity_(core::boot_clock::now()), last_read_(last_activity_)
 {
     error_code ec;
     set_socket_options(socket_);
@@ -136,7 +136,15 @@
     }
     queued_bytes_ += size;
     auto const header = encode_frame_length(frame.size());
-    queue_.push_back({header, std::move(frame)});
+    if (options_.link && frame.size() > max_unpaced_message.value())
+    {
+        auto const ticket = options_.link->open(core::byte_count(frame.size()));
+        paced_queue_.push_back({{header, std::move(frame)}, ticket});
+    }
+    else
+    {
+        queue_.push_back({header, std::move(frame)});
+    }
     record_activity();
     write();
     return true;
@@ -163,6 +171,10 @@
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     idle_timer_.cancel(ignored);
+    for (auto const& it : paced_queue_)
+    {
+        options_.link->close(it.ticket);
+    }
     auto handlers = std::exchange(handlers_, {});
     if (!handlers.closed)
     {
@@ -201,6 +213,7 @@
 
 void frame_connection::handle_read(std::size_t n)
 {
+    last_read_ = core::boot_clock::now();
     auto frame = reader_.commit(n);
     if (!frame)
     {
@@ -220,12 +233,88 @@
     read();
 }
 
+// A part that the link has granted goes first, since the link counts it as sent
+// already. The parts of a frame must follow each other on the connection.
 void frame_connection::write()
 {
-    if (!open_ || queue_.empty() || std::exchange(writing_, true))
+    if (!open_ || writing_)
+    {
+        return;
+    }
+    bool const within_paced_frame =
+        !paced_queue_.empty() && paced_queue_.front().written > 0;
+    if (granted_part_)
+    {
+        write_part();
+    }
+    else if (!queue_.empty() && !within_paced_frame)
+    {
+        write_short_frame();
+    }
+    else if (!paced_queue_.empty())
+    {
+        request_part();
+    }
+}
+
+void frame_connection::request_part()
+{
+    if (std::exchange(part_requested_, true))
     {
         return;
     }
+    options_.link->request(paced_queue_.front().ticket,
+                           [self = shared_from_this()](core::byte_count size) {
+                               self->part_requested_ = false;
+                               self->granted_part_ = size;
+                               self->write();
+                           });
+}
+
+void frame_connection::write_part()
+{
+    writing_ = true;
+    auto const& it = paced_queue_.front();
+    auto const size = std::exchange(granted_part_, std::nullopt)->value();
+    auto const header_size = it.written == 0 ? it.content.header.size() : 0;
+    std::array<asio::const_buffer, 2> const parts{
+        asio::buffer(it.content.header.data(), header_size),
+        asio::buffer(it.content.frame.data() + it.written, size)};
+    asio::async_write(
+        socket_, parts,
+        [self = shared_from_this(), size](error_code const& ec, std::size_t) {
+            self->writing_ = false;
+            if (ec)
+            {
+                self->close(io_error("write failed", ec));
+                return;
+            }
+            if (self->open_)
+            {
+                self->handle_part_written(size);
+            }
+        });
+}
+
+void frame_connection::handle_part_written(std::size_t n)
+{
+    auto& it = paced_queue_.front();
+    it.written += n;
+    record_activity();
+    if (it.written < it.content.frame.size())
+    {
+        write();
+        return;
+    }
+    options_.link->close(it.ticket);
+    auto const total = it.written + it.content.header.size();
+    paced_queue_.pop_front();
+    handle_written(total);
+}
+
+void frame_connection::write_short_frame()
+{
+    writing_ = true;
     auto const& front = queue_.front();
     std::array<asio::const_buffer, 2> const parts{asio::buffer(front.header),
                                                   asio::buffer(front.frame)};
@@ -238,6 +327,7 @@
                 self->close(io_error("write failed", ec));
                 return;
             }
+            self->queue_.pop_front();
             self->handle_written(n);
         });
 }
@@ -245,8 +335,7 @@
 void frame_connection::handle_written(std::size_t n)
 {
     queued_bytes_ -= n;
-    queue_.pop_front();
-    if (!queue_.empty())
+    if (!queue_.empty() || !paced_queue_.empty())
     {
         write();
         return;
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,6 +18,7 @@
 #include "core/error.hpp"
 #include "core/units.hpp"
 #include "transport/frame_reader.hpp"
+#include "transport/paced_link.hpp"
 
 namespace yuccafall::transport {
 
@@ -33,6 +35,9 @@
     // frame of the maximum size and for other queued frames.
     core::byte_count queue_limit{traffic_frame_limit.value() +
                                  6UL * 1024 * 1024};
+    // Frames that are longer than max_unpaced_message are sent in parts that
+    // this link grants. Null if frames are sent at once.
+    std::shared_ptr<paced_link> link;
 };
 
 // All handlers are called on the connection's executor.
@@ -71,6 +76,10 @@
     // full. A full queue closes the connection.
     bool send(std::string frame);
 
+    // Returns when bytes were received most recently, whether or not they
+    // completed a frame.
+    core::instant last_read() const { return last_read_; }
+
     // Stops reading, so that the peer's frames stay in the kernel's buffer
     // until resume(). A read that is already pending is still delivered.
     void pause();
@@ -102,9 +111,22 @@
         frame_header header;
         std::string frame;
     };
+    // A frame that the link sends in parts.
+    struct paced_frame
+    {
+        queued_frame content;
+        link_ticket ticket;
+        // Bytes of the frame that have been handed to the kernel. The header is
+        // sent with the first of them.
+        std::size_t written = 0;
+    };
 
     void read();
     void write();
+    void write_short_frame();
+    void request_part();
+    void write_part();
+    void handle_part_written(std::size_t n);
     void handle_read(std::size_t n);
     void handle_written(std::size_t n);
     void record_activity();
@@ -116,8 +138,15 @@
     frame_reader reader_;
     connection_handlers handlers_;
     std::deque<queued_frame> queue_;
+    // Invariant: empty if there is no link. A frame in queue_ goes ahead of one
+    // of these that has not begun.
+    std::deque<paced_frame> paced_queue_;
+    // Size of the part that the link has granted to the first paced frame.
+    std::optional<core::byte_count> granted_part_;
+    bool part_requested_ = false;
     std::size_t queued_bytes_ = 0;
     core::instant last_activity_;
+    core::instant last_read_;
     std::string remote_;
     bool open_ = true;
     bool started_ = false;
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -257,3 +257,45 @@
     REQUIRE(failed);
     REQUIRE(failed->kind == core::error_kind::io);
 }
+
+// Pattern: responses of 90 kB and short ones to the same node. The short ones
+// waited for the whole of each long one before it.
+TEST_CASE("a short frame goes ahead of a long one that waits for the link")
+{
+    loopback net;
+    connection_options options;
+    link_pacer_settings pacing;
+    pacing.bandwidth = core::bytes_per_second(4'000'000);
+    options.link =
+        std::make_shared<paced_link>(net.context.get_executor(), pacing);
+    auto const client = net.connect(channel_kind::traffic, options);
+    client->start({});
+    std::string const long_frame(100'000, 'x');
+    REQUIRE(client->send(long_frame));
+    REQUIRE(client->send(long_frame));
+    REQUIRE(client->send("short"));
+    net.run_until([&] { return net.received_frames.size() == 3; });
+    REQUIRE(net.received_frames ==
+            std::vector<std::string>{"short", long_frame, long_frame});
+    REQUIRE(options.link->backlog() == core::duration::zero());
+    client->close_silently();
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
+
+TEST_CASE("a connection that closes takes its long frames off the link")
+{
+    loopback net;
+    connection_options options;
+    link_pacer_settings pacing;
+    pacing.bandwidth = core::bytes_per_second(1'000);
+    options.link =
+        std::make_shared<paced_link>(net.context.get_executor(), pacing);
+    auto const client = net.connect(channel_kind::traffic, options);
+    client->start({});
+    REQUIRE(client->send(std::string(100'000, 'x')));
+    REQUIRE(client->send(std::string(100'000, 'y')));
+    REQUIRE(options.link->backlog() > core::duration::zero());
+    client->close_silently();
+    REQUIRE(options.link->backlog() == core::duration::zero());
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -111,7 +111,8 @@
                            worker_owner_settings const& settings,
                            metadata::header_codec header_codec,
                            crash_notice_handler on_crash_notice,
-                           std::shared_ptr<counters> counters)
+                           std::shared_ptr<counters> counters,
+                           std::shared_ptr<transport::paced_link> link)
     : queue_timer_(context), header_codec_(header_codec),
       worker_client_(std::make_shared<worker_client>(
           context, settings.worker_endpoint, header_codec,
@@ -119,7 +120,7 @@
       queue_(queue_settings_of(settings)), load_timer_(context),
       crash_detector_(settings.incarnation),
       on_crash_notice_(std::move(on_crash_notice)),
-      counters_(std::move(counters))
+      counters_(std::move(counters)), link_(std::move(link))
 {}
 
 void worker_owner::handle(session_id from, peers::message message,
@@ -177,6 +178,7 @@
     {
         job.body_size = call.offer.body_size;
     }
+    job.link_backlog = link_backlog();
     call_keys_.emplace(std::pair(from, call.offer.call), key);
     calls_.emplace(key, std::move(call));
     handle_event(admission::call_offered{job});
@@ -502,9 +504,13 @@
     {
         update_rejection_share(rejected);
     }
+    auto const* answered = std::get_if<worker_answered>(&outcome);
     handle_event(admission::run_ended{
-        key, completed ? admission::run_result::completed
-                       : admission::run_result::incomplete});
+        key,
+        completed ? admission::run_result::completed
+                  : admission::run_result::incomplete,
+        core::byte_count(
+            answered == nullptr ? 0 : answered->response.body.size())});
     std::visit([&](auto& it) { report_outcome(call, it); }, outcome);
 }
 
@@ -634,6 +640,11 @@
                              load()});
 }
 
+core::duration worker_owner::link_backlog() const
+{
+    return link_ ? link_->backlog() : core::duration::zero();
+}
+
 balancing::load_report worker_owner::load() const
 {
     balancing::load_report report;
@@ -645,7 +656,9 @@
     auto const now = core::boot_clock::now();
     report.wait_at_front = queue_.wait_at_front(now);
     report.wait_at_back = queue_.wait_at_back(now);
-    report.wait_for_bodies = queue_.wait_for_bodies();
+    report.wait_for_bodies = std::max(
+        queue_.wait_for_bodies(),
+        to_milliseconds(link_backlog() + queue_.expected_response_time()));
     report.body_rate = queue_.body_rate();
     report.relative_service_time = queue_.relative_service_time();
     report.rejection_share =
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -25,6 +25,7 @@
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
 #include "poison/crash_detector.hpp"
+#include "transport/paced_link.hpp"
 #include "upstream/counters.hpp"
 #include "upstream/worker_client.hpp"
 
@@ -80,7 +81,8 @@
                  worker_owner_settings const& settings,
                  metadata::header_codec header_codec,
                  crash_notice_handler on_crash_notice,
-                 std::shared_ptr<counters> counters);
+                 std::shared_ptr<counters> counters,
+                 std::shared_ptr<transport::paced_link> link = nullptr);
 
     // Handles a message of the session. The function `reply` sends messages
     // back over the session; it may be called later and more than once.
@@ -152,6 +154,7 @@
     // Applies what the worker, or another node, states about its rate.
     void update_rate(core::upstream_id const& upstream,
                      core::stated_rate const& rate, rate_source source);
+    core::duration link_backlog() const;
     void check_for_crash(poison::fingerprint const& request);
     void send_load_reports();
 
@@ -200,6 +203,8 @@
     // True if the list of workers has not been empty at some time.
     bool had_workers_ = false;
     std::shared_ptr<counters> counters_;
+    // Paces the long responses of this VM. Null if its bandwidth is not known.
+    std::shared_ptr<transport::paced_link> link_;
 };
 
 } // namespace yuccafall::upstream
