--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -48,6 +48,10 @@
     {
         it.paces_bodies = false;
     }
+    else if (rule == "paced-responses")
+    {
+        it.paces_responses = false;
+    }
     else if (rule == "free-slots")
     {
         it.prefers_free_slots = false;
--- a/bench/model/patterns.cpp
+++ b/bench/model/patterns.cpp
@@ -144,6 +144,90 @@
     return it;
 }
 
+// Indexes into deployment::request_kinds of make_narrow_downloads().
+enum download_index : std::size_t
+{
+    statement_lookup,
+    authorship_claim,
+    ledger_export,
+    royalty_payout,
+    works_check,
+    holder_check,
+};
+
+std::vector<request_kind> make_download_kinds()
+{
+    struct row
+    {
+        char const* name;
+        char const* service;
+        repeatability kind;
+        long timeout_ms;
+        long target_latency_ms;
+        std::uint32_t rank;
+        double service_time_ms;
+        long caller_timeout_ms;
+        double response_bytes;
+        double share;
+        double worth;
+        double late_worth;
+    };
+    constexpr row rows[] = {
+        {"statement-lookup", "consult", repeatability::idempotent, 1'500, 1'000,
+         1, 270, 3'000, 400, 0.588, 1.2, 0.35},
+        {"authorship-claim", "repertoire", repeatability::non_idempotent, 2'000,
+         2'500, 2, 360, 4'000, 5'000, 0.246, 1.2, 0.52},
+        {"ledger-export", "tresorerie", repeatability::download, 4'000, 1'000,
+         1, 220, 4'000, 90'000, 0.089, 1.2, 0.35},
+        {"royalty-payout", "tresorerie", repeatability::non_idempotent, 1'500,
+         800, 0, 220, 3'000, 400, 0.077, 2.2, 0.27},
+        {"works-check", "repertoire", repeatability::idempotent, 800, 250, 1,
+         68, 800, 400, 0, 0, 0},
+        {"holder-check", "tresorerie", repeatability::idempotent, 800, 250, 1,
+         68, 800, 400, 0, 0, 0},
+    };
+    std::vector<request_kind> out;
+    for (auto const& it : rows)
+    {
+        request_kind kind;
+        kind.route = make_route(it.name, it.service, it.kind, it.timeout_ms,
+                                it.target_latency_ms, it.rank);
+        kind.mean_service_time_ms = it.service_time_ms;
+        kind.service_time_sigma = 0.4;
+        kind.caller_timeout = milliseconds(it.caller_timeout_ms);
+        kind.response_bytes = it.response_bytes;
+        kind.share = it.share;
+        kind.worth = it.worth;
+        kind.late_worth = it.late_worth;
+        kind.max_retries = 1;
+        out.push_back(std::move(kind));
+    }
+    out[statement_lookup].calls = {{works_check, 2, 0.7}};
+    out[authorship_claim].calls = {{holder_check, 2, 0.7}};
+    return out;
+}
+
+// 89 VMs with a link of 11 Mbit/s each, that is, 1'375'000 bytes a second.
+deployment make_narrow_downloads()
+{
+    deployment it;
+    it.data_centres = {core::data_centre("plateau"),
+                       core::data_centre("diamniadio"),
+                       core::data_centre("rufisque")};
+    it.services = {
+        {core::service_name("consult"), {15, 13, 17}, {0.7, 0.7, 1.6}},
+        {core::service_name("repertoire"), {12, 11, 9}, {0.6, 1, 1.4}},
+        {core::service_name("tresorerie"), {4, 4, 4}, {0.7, 0.7, 1.6}}};
+    it.request_kinds = make_download_kinds();
+    it.slots = core::slot_count(12);
+    it.requests_per_second = 1'300;
+    it.rate_amplitude = 0.15;
+    it.rate_period_s = 11;
+    it.link_bandwidth = core::bytes_per_second(1'375'000);
+    it.duration_s = 12;
+    return it;
+}
+
 } // namespace
 
 std::vector<pattern> const& all_patterns()
@@ -156,6 +240,9 @@
          make_slow_workers},
         {"narrow-links", "77 workers behind links of 7.7 Mbit/s",
          make_narrow_links},
+        {"narrow-downloads",
+         "89 workers behind links of 11 Mbit/s, with responses of 90 kB",
+         make_narrow_downloads},
     };
     return all;
 }
--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "admission/slot_queue.hpp"
 #include "balancing/upstream_scores.hpp"
@@ -16,6 +17,7 @@
 #include "ingress/caller_timeouts.hpp"
 #include "ingress/next_step.hpp"
 #include "retries/retry_budget.hpp"
+#include "transport/link_pacer.hpp"
 
 namespace yuccafall::bench::model {
 
@@ -95,6 +97,14 @@
 
 struct node;
 
+// A long response that the link sends in parts.
+struct paced_response
+{
+    double remaining_bytes = 0;
+    node* receiver = nullptr;
+    std::function<void()> on_arrival;
+};
+
 // State of a call at the caller's node, which received it from a client or from
 // its own worker.
 struct call_state
@@ -135,9 +145,18 @@
         : data_centre_index(own_data_centre), id(std::move(own_id)),
           scores(std::move(choice_settings)), queue(queue_settings),
           retry_budget(budget_settings), inbound(link_bandwidth),
-          outbound(link_bandwidth)
+          outbound(link_bandwidth),
+          response_pacer(make_pacer_settings(link_bandwidth))
     {}
 
+    static transport::link_pacer_settings
+    make_pacer_settings(core::bytes_per_second link_bandwidth)
+    {
+        transport::link_pacer_settings it;
+        it.bandwidth = link_bandwidth;
+        return it;
+    }
+
     // Index into deployment::data_centres.
     std::size_t data_centre_index;
     core::upstream_id id;
@@ -147,6 +166,10 @@
     retries::retry_budget retry_budget;
     link_direction inbound;
     link_direction outbound;
+    transport::link_pacer response_pacer;
+    std::map<transport::link_ticket, paced_response> paced_responses;
+    // True while an event is scheduled for the next part of a response.
+    bool part_scheduled = false;
     std::map<core::call_id, offered_call> offered_calls;
     // Time of the earliest timer event that is scheduled for the queue.
     std::optional<core::instant> next_timer;
@@ -422,7 +445,8 @@
         balancing::call_traits const traits{
             route.name,
             core::byte_count(static_cast<std::uint64_t>(call->body_bytes)),
-            call->body_bytes > max_inline_body_bytes, call->nested};
+            call->body_bytes > max_inline_body_bytes, call->nested,
+            is_paced(spec_.request_kinds[call->kind_index].response_bytes)};
         auto const choice = caller_node.scores.choose(
             upstreams_.at(route.targets.front().service), call->tried_upstreams,
             traits, events_.now(), random_);
@@ -521,6 +545,7 @@
             job.awaits_body && &worker_node != call->caller_node
                 ? static_cast<std::uint64_t>(call->body_bytes)
                 : 0);
+        job.link_backlog = worker_node.response_pacer.backlog();
         worker_node.offered_calls.emplace(
             id, offered_call{call, has_alternative, now, {}});
         handle_event(worker_node, admission::call_offered{job});
@@ -659,27 +684,34 @@
             events_.now() - offered.started_at);
         handle_event(worker_node,
                      admission::run_ended{
-                         id, succeeded ? admission::run_result::completed
-                                       : admission::run_result::incomplete});
+                         id,
+                         succeeded ? admission::run_result::completed
+                                   : admission::run_result::incomplete,
+                         core::byte_count(response_size_for_queue(
+                             spec_.request_kinds[offered.call->kind_index]))});
         auto const& kind = spec_.request_kinds[offered.call->kind_index];
         auto const bytes =
             short_message_bytes + (succeeded ? kind.response_bytes : 0);
-        send(worker_node, *offered.call->caller_node, bytes,
-             [this, &worker_node, call = offered.call, run_time, succeeded,
-              load = make_load_report(worker_node)] {
-                 auto& scores = call->caller_node->scores;
-                 scores.record_report(worker_node.id, load, events_.now());
-                 scores.record_run(
-                     worker_node.id,
-                     spec_.request_kinds[call->kind_index].route.name,
-                     run_time);
-                 scores.record_ended(worker_node.id,
-                                     balancing::outcome::answered,
-                                     events_.now());
-                 end_call(*call, {succeeded ? call_status::answered
-                                            : call_status::failed,
-                                  {}});
-             });
+        send_response(
+            worker_node, *offered.call->caller_node, bytes,
+            [this, &worker_node, call = offered.call, run_time, succeeded,
+             load = make_load_report(worker_node)] {
+                auto& scores = call->caller_node->scores;
+                scores.record_response_size(
+                    spec_.request_kinds[call->kind_index].route.name,
+                    core::byte_count(static_cast<std::uint64_t>(
+                        spec_.request_kinds[call->kind_index].response_bytes)));
+                scores.record_report(worker_node.id, load, events_.now());
+                scores.record_run(
+                    worker_node.id,
+                    spec_.request_kinds[call->kind_index].route.name, run_time);
+                scores.record_ended(worker_node.id,
+                                    balancing::outcome::answered,
+                                    events_.now());
+                end_call(*call, {succeeded ? call_status::answered
+                                           : call_status::failed,
+                                 {}});
+            });
     }
 
     balancing::load_report make_load_report(node const& worker_node) const
@@ -693,7 +725,10 @@
         it.waiting =
             core::queue_length(static_cast<std::uint32_t>(queue.waiting()));
         it.slots = queue.slots();
-        it.wait_for_bodies = queue.wait_for_bodies();
+        it.wait_for_bodies = std::max(queue.wait_for_bodies(),
+                                      std::chrono::duration_cast<milliseconds>(
+                                          worker_node.response_pacer.backlog() +
+                                          queue.expected_response_time()));
         it.body_rate = queue.body_rate();
         return it;
     }
@@ -722,6 +757,69 @@
         return slowdown;
     }
 
+    bool is_paced(double bytes) const
+    {
+        return rules_.paces_responses &&
+               bytes >
+                   static_cast<double>(transport::max_unpaced_message.value());
+    }
+
+    // Without the rule, the queue does not learn that responses are long.
+    std::uint64_t response_size_for_queue(request_kind const& kind) const
+    {
+        return is_paced(kind.response_bytes)
+                   ? static_cast<std::uint64_t>(kind.response_bytes)
+                   : 0;
+    }
+
+    void send_response(node& sender, node& receiver, double bytes,
+                       std::function<void()> on_arrival)
+    {
+        if (&sender == &receiver || !is_paced(bytes))
+        {
+            send(sender, receiver, bytes, std::move(on_arrival));
+            return;
+        }
+        auto const ticket = sender.response_pacer.open(
+            core::byte_count(static_cast<std::uint64_t>(bytes)));
+        sender.paced_responses.emplace(
+            ticket, paced_response{std::floor(bytes), &receiver,
+                                   std::move(on_arrival)});
+        sender.response_pacer.request(ticket);
+        send_parts(sender);
+    }
+
+    void send_parts(node& sender)
+    {
+        auto& pacer = sender.response_pacer;
+        while (auto const part = pacer.next(events_.now()))
+        {
+            auto const found = sender.paced_responses.find(part->ticket);
+            auto& it = found->second;
+            auto const bytes = static_cast<double>(part->size.value());
+            it.remaining_bytes -= bytes;
+            bool const is_last = it.remaining_bytes <= 0;
+            send(
+                sender, *it.receiver, bytes,
+                is_last ? std::move(it.on_arrival) : [] {});
+            if (is_last)
+            {
+                sender.paced_responses.erase(found);
+                pacer.close(part->ticket);
+                continue;
+            }
+            pacer.request(part->ticket);
+        }
+        auto const next = pacer.next_time();
+        if (next && !std::exchange(sender.part_scheduled, true))
+        {
+            events_.schedule_at(*next, [this, &sender] {
+                sender.part_scheduled = false;
+                send_parts(sender);
+            });
+        }
+    }
+
     // Delivers a message. It passes the sender's link, the network and the
     // receiver's link, unless both ends are the same node.
     void send(node& sender, node& receiver, double bytes,
--- a/bench/model/simulation.hpp
+++ b/bench/model/simulation.hpp
@@ -22,6 +22,9 @@
 {
     // Nodes request bodies no faster than their link carries them.
     bool paces_bodies = true;
+    // Long responses are sent in parts at the rate of the link, and the link's
+    // backlog counts in admission and in the choice of an upstream.
+    bool paces_responses = true;
     // A call that would have to wait is refused if the caller's node believes
     // that another worker has a free slot.
     bool prefers_free_slots = true;
--- a/bench/tests/model_test.cpp
+++ b/bench/tests/model_test.cpp
@@ -70,6 +70,13 @@
     REQUIRE(gain_lower_bound("narrow-links", "paced-bodies", 2) > 0);
 }
 
+// Without the rule, the responses of exports fill the links of their workers,
+// and the short responses to calls of running requests arrive too late.
+TEST_CASE("pacing long responses gains worth with downloads on narrow links")
+{
+    REQUIRE(gain_lower_bound("narrow-downloads", "paced-responses", 2) > 0);
+}
+
 // Load reports are out of date while the demand rises, so that calls are
 // offered to workers that are full already.
 TEST_CASE("trying another worker instead of waiting gains worth in a burst")
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -221,6 +221,72 @@
     REQUIRE(succeeded > 0);
 }
 
+// Report of other operators: requests that came late in the grace of a planned
+// stop were passed on and cut at its end. Half of the grace was taken to be
+// enough for any route; a run of 2.8 s that began then did not end in time.
+TEST_CASE("a request late in a graceful stop gets a whole response")
+{
+    std::vector<vm_options> const vms{
+        {"a", "shop", 6, core::milliseconds(10)},
+        {"a", "desk", 64, core::milliseconds(2'800)}};
+    running_deployment fleet(vms,
+                             {{"/book/", "non_idempotent", "desk", 5'000}});
+    std::atomic<bool> stop{false};
+    std::atomic<int> cut{0};
+    std::atomic<int> answered{0};
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller)
+    {
+        callers.emplace_back([&, caller] {
+            for (int i = 0; !stop; ++i)
+            {
+                auto const id = fmt::format("c{}-{}", caller, i);
+                auto const it =
+                    fleet.call(0, deployment::request("/book/", id, "POST"),
+                               core::milliseconds(7'000));
+                cut += it.status == 0 && fleet.count_runs(id) > 0 ? 1 : 0;
+                answered += it.status != 0 ? 1 : 0;
+            }
+        });
+    }
+    REQUIRE(fleet.wait_until_running(1));
+    fleet.node(0).terminate();
+    auto const exit_status = fleet.node(0).wait_for(core::milliseconds(9'000));
+    stop = true;
+    for (auto& it : callers)
+    {
+        it.join();
+    }
+    REQUIRE(exit_status == 0);
+    REQUIRE(cut == 0);
+    REQUIRE(answered > 0);
+}
+
+// Guards against one new word of the platform that takes the whole fleet out of
+// service.
+TEST_CASE("good routes are served beside unknown words of the store")
+{
+    running_deployment fleet;
+    fleet.store().put(
+        "servers/i-new",
+        R"({"service":"shop","address":"127.0.0.1:9","zone":"a","slots":6,)"
+        R"("state":"hibernating","cold_left_ms":0,"colour":"blue"})");
+    auto routes = default_routes();
+    routes.push_back({"/replay/", "replay", "shop"});
+    auto const version = fleet.publish(routes);
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        REQUIRE(fleet.wait_for_version(i, version));
+        REQUIRE(fleet.wait_for_log(i, "event=route_kind_unknown"));
+        for (auto const* path : {"/look/", "/replay/"})
+        {
+            REQUIRE(
+                fleet.call(i, deployment::request(path, fmt::format("u{}", i)))
+                    .status == 200);
+        }
+    }
+}
+
 // Guards against a node that cannot restart during an outage of the store,
 // although its peers have the state.
 TEST_CASE(
