HTTP, Transport: Keep a connection alive while it closes, and bound a log line

Found on reading the diff: the handler that waits for a part of the link may hold the last reference to a connection, and close() drops that handler. The line handler_failed had no bound. The size above which a message is paced stood twice.

Tests of core, http, transport, admission, peers, ingress and node pass.

--- a/src/admission/response_sizes.hpp
+++ b/src/admission/response_sizes.hpp
@@ -6,6 +6,7 @@
 
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "transport/link_pacer.hpp"
 
 namespace yuccafall::admission {
 
@@ -21,8 +22,10 @@
     core::byte_count expected(core::route_name const& route) const;
 
 private:
-    // A route whose average is not above this size has short responses.
-    static constexpr core::byte_count max_short_response{8UL * 1024};
+    // A route whose average is not above this size has short responses, which
+    // are not paced.
+    static constexpr core::byte_count max_short_response =
+        transport::max_unpaced_message;
     // Weight of a new sample in the moving average.
     static constexpr double sample_weight = 0.05;
     // All averages are discarded when a further route would exceed this limit.
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -18,8 +18,12 @@
         }
         catch (std::exception const& e)
         {
-            log_event(log_level::error, "handler_failed",
-                      {{"loop", name}, {"reason", e.what()}});
+            // The limit on lines about requests also bounds these.
+            if (admit_request_line(request_event::exceptional))
+            {
+                log_event(log_level::error, "handler_failed",
+                          {{"loop", name}, {"reason", e.what()}});
+            }
         }
     }
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -347,6 +347,9 @@
 
 void server_connection::close()
 {
+    // The handler that waits for a part of the link may hold the last reference
+    // to this object.
+    auto const self = shared_from_this();
     open_ = false;
     phase_ = phase::closing;
     release_ticket();
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -167,6 +167,9 @@
     {
         return;
     }
+    // The handler that waits for a part of the link may hold the last reference
+    // to this object.
+    auto const self = shared_from_this();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
