--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -34,7 +34,7 @@
     link(asio::io_context& context, link_key to, peer_link_settings settings,
          load_handler handle_load)
         : context_(context), liveness_timer_(context), key_(std::move(to)),
-          settings_(settings), load_handler_(std::move(handle_load))
+          settings_(std::move(settings)), load_handler_(std::move(handle_load))
     {}
 
     void connect()
@@ -256,7 +256,8 @@
                        peer_link_settings settings)
     : context_(context), self_(std::move(self)),
       local_message_handler_(std::move(handle_local_message)),
-      settings_(settings), nullable_self_(std::make_shared<peer_links*>(this))
+      settings_(std::move(settings)),
+      nullable_self_(std::make_shared<peer_links*>(this))
 {}
 
 peer_links::~peer_links()
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -58,7 +58,7 @@
 frame_connection::frame_connection(tcp::socket socket, channel_kind kind,
                                    connection_options options)
     : socket_(std::move(socket)), idle_timer_(socket_.get_executor()),
-      options_(options), reader_(frame_limit_of(kind)),
+      options_(std::move(options)), reader_(frame_limit_of(kind)),
       last_activity_(core::boot_clock::now()), last_read_(last_activity_)
 {
     error_code ec;
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -27,7 +27,7 @@
 // the control thread of a node.
 struct loopback
 {
-    explicit loopback(acceptor_options options = {})
+    explicit loopback(acceptor_options const& options = {})
     {
         acceptor = *frame_acceptor::listen(
             context, loopback_any_port, options,
@@ -62,7 +62,7 @@
 
     std::shared_ptr<frame_connection>
     connect(channel_kind kind = channel_kind::traffic,
-            connection_options options = {})
+            connection_options const& options = {})
     {
         std::optional<core::result<std::shared_ptr<frame_connection>>>
             connected;
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -234,8 +234,10 @@
     std::atomic<bool> stop{false};
     std::atomic<int> cut{0};
     std::atomic<int> answered{0};
+    constexpr int caller_count = 8;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 8; ++caller)
+    callers.reserve(caller_count);
+    for (int caller = 0; caller < caller_count; ++caller)
     {
         callers.emplace_back([&, caller] {
             for (int i = 0; !stop; ++i)
