--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -340,10 +340,11 @@
     call_traits traits;
     traits.route = core::route_name("export");
     traits.long_response = true;
+    std::vector<upstream> const upstreams{other, own};
     core::random_source random{7};
     for (int i = 0; i < 100; ++i)
     {
-        auto const it = scores.choose({other, own}, {}, traits, at(0), random);
+        auto const it = scores.choose(upstreams, {}, traits, at(0), random);
         REQUIRE(std::get<chosen>(it).target->id == own.id);
     }
 }
