Review: Give each deployment of the cases addresses of its own

Cause: two scripts that ran at the same time used the same loopback addresses, and one could not listen. Nodes that were started during a run inherited connections of the callers.

Result: the addresses depend on the process, sockets are closed on exec, and a worker can be started again.

--- a/review/stand_ins/rig.hpp
+++ b/review/stand_ins/rig.hpp
@@ -66,7 +66,7 @@
 class record_file
 {
 public:
-    void open(std::string const& path) { file_ = fopen(path.c_str(), "w"); }
+    void open(std::string const& path) { file_ = fopen(path.c_str(), "we"); }
     void line(char const* format, ...) __attribute__((format(printf, 2, 3)))
     {
         std::lock_guard<std::mutex> const guard(mutex_);
@@ -111,8 +111,8 @@
     return out;
 }
 
-// Returns ports that are free on 127.0.0.1. Each VM uses the same ports on its
-// own address.
+// Returns ports that are free on all addresses. Each VM uses the same ports on
+// its own address.
 inline std::vector<int> free_ports(std::size_t count)
 {
     std::vector<int> sockets;
@@ -120,7 +120,7 @@
     for (std::size_t i = 0; i < count; ++i)
     {
         int const fd = socket(AF_INET, SOCK_STREAM, 0);
-        auto name = to_sockaddr({"127.0.0.1", 0});
+        auto name = to_sockaddr({"0.0.0.0", 0});
         bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name);
         socklen_t size = sizeof name;
         getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size);
@@ -351,7 +351,8 @@
 // Returns a connection, or null if none could be opened within the time.
 inline std::shared_ptr<connection> dial(address const& to, long timeout_ms)
 {
-    int const fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    int const fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     auto const name = to_sockaddr(to);
     int n =
         ::connect(fd, reinterpret_cast<sockaddr const*>(&name), sizeof name);
@@ -653,6 +654,20 @@
             shutdown(it->fd(), SHUT_RDWR);
         }
     }
+    // Starts the worker again after end(). It is slow for some seconds.
+    void start_again()
+    {
+        std::lock_guard<std::mutex> const guard(mutex_);
+        ended_ = false;
+        cold_until_ = now_ms() + cold_ms;
+        accept();
+    }
+    // The number of requests that run or wait.
+    int open()
+    {
+        std::lock_guard<std::mutex> const guard(mutex_);
+        return running_ + queued_;
+    }
     // When a request whose path contains "poison" has crashed the worker.
     std::vector<long> crashes()
     {
@@ -756,9 +771,11 @@
                       options_.id.c_str(), id.c_str(),
                       it.header("timeout-ms").c_str(),
                       it.header("caller-service").c_str());
+        auto const work_ms =
+            options_.work_ms * (now_ms() < cold_until_ ? cold_factor : 1);
         bool const poison = it.word(1).find("poison") != std::string::npos;
-        bool const left = caller.wait_for_close(poison ? options_.crash_after_ms
-                                                       : options_.work_ms);
+        bool const left =
+            caller.wait_for_close(poison ? options_.crash_after_ms : work_ms);
         if (poison && !left)
         {
             lock.lock();
@@ -787,10 +804,15 @@
                            std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
+    // As the pages give it for the two small deployments.
+    static constexpr long cold_ms = 3'000;
+    static constexpr long cold_factor = 2;
+
     // A crash replaces the listener. The thread of an old one may still use it.
     std::shared_ptr<listener> listener_;
     std::vector<std::shared_ptr<listener>> old_listeners_;
     std::vector<long> crashes_;
+    std::atomic<long> cold_until_{0};
     address at_;
     options options_;
     std::mutex mutex_;
@@ -808,6 +830,7 @@
     int status = 0;
     std::string body;
     std::string error_kind;
+    std::string id;
     long sent_at = 0;
     long answered_at = 0;
 };
@@ -819,6 +842,7 @@
                            std::string const& body = {})
 {
     answer out;
+    out.id = id;
     out.sent_at = now_ms();
     auto const caller = dial(to, std::min(timeout_ms, 1000L));
     message it;
@@ -986,7 +1010,7 @@
             exit(could_not_run);
         }
         directory_ = path;
-        store_.start({"127.0.0.1", ports_[6]});
+        store_.start({network_ + "200.7", ports_[6]});
         std::map<std::string, int> zones;
         std::map<std::string, int> count;
         for (std::size_t i = 0; i < options.size(); ++i)
@@ -999,8 +1023,8 @@
             auto made = std::make_unique<vm>();
             made->name = "sidecar-" + it.zone + "-" + std::to_string(n);
             made->zone = it.zone;
-            made->ip = "127." + std::to_string(20 + zone) + ".0." +
-                       std::to_string(40 + n);
+            made->ip =
+                network_ + std::to_string(zone) + "." + std::to_string(40 + n);
             made->service = it.service;
             made->worker_id = "i-" + std::to_string(7000 + i);
             worker::options worker;
@@ -1179,9 +1203,8 @@
             "\"\nregion: \"kerala-south\"\nendpoints:\n  callers: " + at(0) +
             "  readiness: " + at(1) + "  control: " + at(2) +
             "  traffic: " + at(3) + "  operators: " + at(4) +
-            "  worker: " + at(5) +
-            "  platform: \"127.0.0.1:" + std::to_string(ports_[6]) +
-            "\"\nseeds: [" + seeds +
+            "  worker: " + at(5) + "  platform: \"" + network_ +
+            "200.7:" + std::to_string(ports_[6]) + "\"\nseeds: [" + seeds +
             "]\nbounds:\n  retry_share: 0.2\n  retry_slack: 64\n"
             "  retry_window_s: 10\n  longest_drain_s: " +
             std::to_string(grace_s) +
@@ -1192,6 +1215,10 @@
         fclose(to);
     }
 
+    // The loopback addresses of this deployment begin so. Others that run at
+    // the same time have other addresses.
+    std::string const network_ =
+        "127." + std::to_string(64 + getpid() % 128) + ".";
     // Callers, readiness, control, traffic, operators, worker, store.
     std::vector<int> ports_;
     std::vector<std::size_t> seeds_;
@@ -1201,16 +1228,15 @@
     int version_ = 4;
 };
 
-// The callers of all VMs. Those of each VM send a request every `gap_ms`, each
-// fourth one on the second route, and leave the VM while it is not ready: two
-// questions without a 200 take them away, as the platform does it.
+// The callers of all VMs. Those of each VM send a request every `gap_ms` and
+// leave the VM while it is not ready: two questions without a 200 take them
+// away, as the platform does it.
 class traffic
 {
 public:
-    traffic(deployment& to, long gap_ms, std::string idempotent = "/browse/1",
-            std::string other = "/buy/1")
-        : deployment_(to),
-          ready_(to.size()), paths_{std::move(idempotent), std::move(other)}
+    // One in `other_every` requests goes to the second route.
+    traffic(deployment& to, long gap_ms, int other_every = 4)
+        : deployment_(to), ready_(to.size()), other_every_(other_every)
     {
         for (std::size_t i = 0; i < to.size(); ++i)
         {
@@ -1267,10 +1293,11 @@
     {
         ++sent_;
         auto const id = "c" + std::to_string(i) + "-" + std::to_string(n);
-        bool const other = n % 4 == 0;
-        auto const got = send_request(
-            deployment_.callers(i), other ? "POST" : "GET", deployment::host,
-            other ? paths_[1] : paths_[0], id, 4'000, other ? "order" : "");
+        bool const other = n % other_every_ == 0;
+        auto const got =
+            send_request(deployment_.callers(i), other ? "POST" : "GET",
+                         deployment::host, other ? "/buy/1" : "/browse/1", id,
+                         4'000, other ? "order " + id : std::string());
         record().line("caller at %s: %s sent at %ld, answer %d %s",
                       deployment_.at(i).name.c_str(), id.c_str(), got.sent_at,
                       got.status, got.error_kind.c_str());
@@ -1280,7 +1307,7 @@
 
     deployment& deployment_;
     std::vector<std::atomic<bool>> ready_;
-    std::string paths_[2];
+    int other_every_;
     std::mutex mutex_;
     std::vector<answer> answers_;
     std::vector<std::thread> threads_;
