--- a/review/stand_ins/rig.hpp
+++ b/review/stand_ins/rig.hpp
@@ -121,7 +121,11 @@
     {
         int const fd = socket(AF_INET, SOCK_STREAM, 0);
         auto name = to_sockaddr({"0.0.0.0", 0});
-        bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name);
+        if (bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) != 0)
+        {
+            fprintf(stderr, "cannot reserve a port\n");
+            exit(could_not_run);
+        }
         socklen_t size = sizeof name;
         getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size);
         out.push_back(ntohs(name.sin_port));
@@ -456,8 +460,8 @@
 public:
     void start(address const& at)
     {
-        listener_.start(at,
-                        [this](std::shared_ptr<connection> it) { serve(*it); });
+        listener_.start(
+            at, [this](std::shared_ptr<connection> const& it) { serve(*it); });
     }
 
     // Both return the time of the acknowledgement.
@@ -687,9 +691,10 @@
     {
         old_listeners_.push_back(listener_);
         listener_ = std::make_shared<listener>();
-        listener_->start(at_, [this](std::shared_ptr<connection> caller) {
-            serve(std::move(caller));
-        });
+        listener_->start(at_,
+                         [this](std::shared_ptr<connection> const& caller) {
+                             serve(caller);
+                         });
     }
     // The worker's process ends, which closes its connections, and another one
     // starts after some seconds.
