--- a/review/stand_ins/rig.hpp
+++ b/review/stand_ins/rig.hpp
@@ -111,16 +111,16 @@
     return out;
 }
 
-// Returns ports that are free on all addresses. Each VM uses the same ports on
+// Returns ports that are free on the address. Each VM uses the same ports on
 // its own address.
-inline std::vector<int> free_ports(std::size_t count)
+inline std::vector<int> free_ports(std::string const& ip, std::size_t count)
 {
     std::vector<int> sockets;
     std::vector<int> out;
     for (std::size_t i = 0; i < count; ++i)
     {
         int const fd = socket(AF_INET, SOCK_STREAM, 0);
-        auto name = to_sockaddr({"0.0.0.0", 0});
+        auto name = to_sockaddr({ip, 0});
         if (bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) != 0)
         {
             fprintf(stderr, "cannot reserve a port\n");
@@ -1007,7 +1007,7 @@
 
     deployment(std::vector<vm_options> const& options,
                std::vector<std::size_t> seeds)
-        : ports_(free_ports(7)), seeds_(std::move(seeds))
+        : ports_(free_ports(network_ + "200.7", 7)), seeds_(std::move(seeds))
     {
         char path[] = "/tmp/review-XXXXXX";
         if (mkdtemp(path) == nullptr)
