Replication: Never restore an item that was deleted before a copy was filled

Cause: a copy that was filled by a whole state has no tombstones of what was deleted before. It still sent incremental sets, which lack these deletions, to older copies, and it merged items of older states that it rightly lacked. Both copies then had the newest revision, so that nothing corrected them.

Change: an item that is not newer than the copy's revision is ignored. A copy remembers the span of revisions in which it may lack tombstones; a base within it gets the whole state, and a set from before it says that it may lack deletions, so that the receiver has the span as well. An item that a set should list and does not list is deleted.

Evidence: four new tests failed on the old code ("an older copy loses what was deleted before a newer one was filled", "an older whole state does not restore what a copy rightly lacks", "a copy that reads the whole again still sends changes alone", "copies never restore a deleted item, in any order of messages").

--- a/src/replication/codec.cpp
+++ b/src/replication/codec.cpp
@@ -44,7 +44,8 @@
 
 void write(frame_writer& to, changes const& it)
 {
-    to.array(6);
+    // A node of an earlier version does not know the last element.
+    to.array(it.set.lists_all_deletions ? 6 : 7);
     to.number(static_cast<std::uint8_t>(wire_kind::changes));
     to.number(it.set.base.value());
     to.number(it.set.as_of.value());
@@ -65,6 +66,10 @@
         to.number(i.patch_of.value());
         to.text(i.frame);
     }
+    if (!it.set.lists_all_deletions)
+    {
+        to.flag(false);
+    }
 }
 
 void write(frame_writer& to, pull const& it)
@@ -111,6 +116,10 @@
         it.set.compressed.push_back(std::move(i));
     }
     compressed.expect_end();
+    if (from.remaining() > 0)
+    {
+        it.set.lists_all_deletions = from.flag();
+    }
     return it;
 }
 
--- a/src/replication/published_state.cpp
+++ b/src/replication/published_state.cpp
@@ -32,20 +32,38 @@
     {
         return out;
     }
-    if (whole)
+    if (changes.as_of <= as_of_)
     {
-        delete_missing(listed_keys, changes.as_of, out.updates);
+        return out;
+    }
+    delete_missing(listed_keys, changes, out.updates);
+    if (whole || !changes.lists_all_deletions)
+    {
+        record_missing_tombstones(changes.as_of);
     }
-    as_of_ = std::max(as_of_, changes.as_of);
+    as_of_ = changes.as_of;
     purge_tombstones();
     return out;
 }
 
+void published_state::record_missing_tombstones(core::revision as_of)
+{
+    purged_up_to_ = std::max(purged_up_to_, incomplete_span_.after);
+    incomplete_span_ = {as_of_, as_of};
+}
+
+bool published_state::is_superseded(std::string const& key,
+                                    core::revision revision) const
+{
+    auto const found = items_.find(key);
+    return revision <= as_of_ ||
+           (found != items_.end() && found->second.revision >= revision);
+}
+
 void published_state::merge(store_item const& it,
                             std::vector<store_item>& updates)
 {
-    auto const found = items_.find(it.key);
-    if (found != items_.end() && found->second.revision >= it.revision)
+    if (is_superseded(it.key, it.revision))
     {
         return;
     }
@@ -78,15 +96,15 @@
 bool published_state::merge(compressed_item const& it,
                             std::vector<store_item>& updates)
 {
-    bool const is_patch = it.patch_of.value() != 0;
-    auto const found = items_.find(it.key);
-    auto const local_revision =
-        found == items_.end() ? core::revision() : found->second.revision;
-    if (local_revision >= it.revision)
+    if (is_superseded(it.key, it.revision))
     {
         return true;
     }
-    if (is_patch && (local_revision != it.patch_of || found->second.deleted))
+    bool const is_patch = it.patch_of.value() != 0;
+    auto const found = items_.find(it.key);
+    if (is_patch &&
+        (found == items_.end() || found->second.revision != it.patch_of ||
+         found->second.deleted))
     {
         return false;
     }
@@ -150,20 +168,20 @@
     local.patches.push_back(std::move(patch));
 }
 
-// Deletes the items that a whole state does not list: they were deleted in the
-// store before the state was read.
+// Deletes the items that the changes would list if the store still held them.
 void published_state::delete_missing(
-    std::set<std::string_view> const& listed_keys, core::revision as_of,
+    std::set<std::string_view> const& listed_keys, change_set const& changes,
     std::vector<store_item>& updates)
 {
     for (auto& [key, local] : items_)
     {
-        if (!local.deleted && local.revision <= as_of &&
-            listed_keys.count(key) == 0)
+        bool const would_be_listed =
+            local.revision > changes.base && local.revision <= changes.as_of;
+        if (!local.deleted && would_be_listed && listed_keys.count(key) == 0)
         {
             local.patches.clear();
             local.frame.clear();
-            replace(local, {key, {}, as_of, true}, updates);
+            replace(local, {key, {}, changes.as_of, true}, updates);
         }
     }
 }
@@ -187,10 +205,20 @@
     tombstones_ = 0;
 }
 
+bool published_state::lacks_tombstones_for(core::revision base) const
+{
+    return base < purged_up_to_ ||
+           (base > incomplete_span_.before && base < incomplete_span_.after);
+}
+
 change_set published_state::since(core::revision base)
 {
-    bool const whole = base.value() == 0 || base < purged_up_to_;
-    change_set out{whole ? core::revision() : base, as_of_, {}, {}};
+    bool const whole = base.value() == 0 || lacks_tombstones_for(base);
+    change_set out{whole ? core::revision() : base,
+                   as_of_,
+                   {},
+                   {},
+                   base >= incomplete_span_.after};
     for (auto& [key, local] : items_)
     {
         bool const is_missing = whole ? !local.deleted : local.revision > base;
--- a/src/replication/published_state.hpp
+++ b/src/replication/published_state.hpp
@@ -41,7 +41,8 @@
 };
 
 // All changes after revision `base` up to and including revision `as_of`. A set
-// whose base is 0 contains the whole state.
+// whose base is 0 contains the whole state. An item that was written after
+// `base` and that the set does not list was deleted by `as_of`.
 struct change_set
 {
     core::revision base;
@@ -49,6 +50,9 @@
     std::vector<store_item> items;
     // Items with the same key are in ascending order of their revisions.
     std::vector<compressed_item> compressed;
+    // False if the set may lack deletions of items that were also written after
+    // `base`. A whole state lists no deletions, whatever the value.
+    bool lists_all_deletions = true;
 };
 
 struct merge_result
@@ -74,7 +78,8 @@
     merge_result apply(change_set const& changes);
 
     // Returns the changes that a copy as of `base` is missing. Returns the
-    // whole state if tombstones newer than `base` may have been purged.
+    // whole state if the copy as of `base` may hold an item whose deletion this
+    // copy has no tombstone for.
     change_set since(core::revision base);
 
 private:
@@ -91,6 +96,13 @@
         std::vector<compressed_item> patches;
     };
 
+    // Returns whether this copy holds the item or a newer one, or whether the
+    // item was deleted by as_of().
+    bool is_superseded(std::string const& key, core::revision revision) const;
+    // Returns whether a copy as of `base` may hold an item that was deleted and
+    // has no tombstone here.
+    bool lacks_tombstones_for(core::revision base) const;
+    void record_missing_tombstones(core::revision as_of);
     void merge(store_item const& it, std::vector<store_item>& updates);
     // Returns false if the item could not be decompressed, or if it is a patch
     // against a value that this copy does not hold.
@@ -101,7 +113,8 @@
     static void append_compressed(change_set& to, std::string const& key,
                                   key_state& local);
     void delete_missing(std::set<std::string_view> const& listed_keys,
-                        core::revision as_of, std::vector<store_item>& updates);
+                        change_set const& changes,
+                        std::vector<store_item>& updates);
     void purge_tombstones();
 
     // Values of at least this many bytes are compressed when they are sent to
@@ -115,17 +128,29 @@
     static constexpr std::size_t max_patches_per_key = 64;
 
     // Maximum number of tombstones. If there are more, all are purged. A
-    // deleted item stays as a tombstone until then, so that an older copy of
-    // the item does not restore it.
+    // deleted item stays as a tombstone until then, so that changes which are
+    // sent to other copies include the deletion.
     static constexpr std::size_t max_tombstones = 1'024;
 
+    // Invariant: for each key, items_ holds the item that the store held as of
+    // this revision, or a newer one. A key that items_ lacks had no item.
     core::revision as_of_;
     // The items by key, including tombstones.
     std::map<std::string, key_state> items_;
     // Number of tombstones in items_.
     std::size_t tombstones_ = 0;
-    // Tombstones up to and including this revision may have been purged.
+    // Tombstones up to and including this revision may be missing.
     core::revision purged_up_to_;
+    // The revisions of this copy before and after it last merged a set that may
+    // lack deletions. Items that were both written and deleted between them may
+    // have no tombstone here. Invariant: purged_up_to_ covers all earlier spans
+    // of this kind.
+    struct revision_span
+    {
+        core::revision before;
+        core::revision after;
+    };
+    revision_span incomplete_span_;
 };
 
 } // namespace yuccafall::replication
--- a/src/replication/tests/published_state_test.cpp
+++ b/src/replication/tests/published_state_test.cpp
@@ -1,4 +1,9 @@
 // Tests how copies of the store's content are merged.
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -117,6 +122,281 @@
     REQUIRE(content(it).empty());
 }
 
+// Guards against a worker that has left and is used again: a copy that was
+// filled after the deletion has no tombstone of it.
+TEST_CASE("an older copy loses what was deleted before a newer one was filled")
+{
+    published_state refilled;
+    refilled.apply(make_changes(0, 7, {written_item("a", 3)}));
+    published_state behind;
+    behind.apply(
+        make_changes(0, 5, {written_item("a", 3), written_item("b", 5)}));
+    REQUIRE(behind.apply(refilled.since(behind.as_of())).complete);
+    REQUIRE(behind.as_of() == core::revision(7));
+    REQUIRE(content(behind).count("b") == 0);
+}
+
+// Guards against the same worker, after a node that was suspended has sent its
+// old copy to one that has just been filled.
+TEST_CASE("an older whole state does not restore what a copy rightly lacks")
+{
+    published_state refilled;
+    refilled.apply(make_changes(0, 7, {written_item("a", 3)}));
+    published_state behind;
+    auto const large = large_item("c", 4);
+    behind.apply(make_changes(
+        0, 5, {written_item("a", 3), written_item("b", 5), large}));
+    auto const merged = refilled.apply(behind.since(core::revision()));
+    REQUIRE(merged.complete);
+    REQUIRE(merged.updates.empty());
+    REQUIRE(content(refilled).size() == 1);
+}
+
+// Guards against whole states that are sent to a complete data centre whenever
+// the store discards its history.
+TEST_CASE("a copy that reads the whole again still sends changes alone")
+{
+    published_state it;
+    it.apply(make_changes(0, 5, {written_item("a", 3), written_item("b", 5)}));
+    it.apply(make_changes(0, 9, {written_item("a", 9)}));
+    REQUIRE(it.since(core::revision(5)).base == core::revision(5));
+    REQUIRE(it.since(core::revision(5)).items.size() == 2);
+    REQUIRE_FALSE(it.since(core::revision(5)).lists_all_deletions);
+    // A copy of a revision between the two may hold items that this one has
+    // never had.
+    REQUIRE(it.since(core::revision(7)).base == core::revision());
+    it.apply(make_changes(0, 12, {written_item("a", 9)}));
+    REQUIRE(it.since(core::revision(9)).base == core::revision(9));
+    REQUIRE(it.since(core::revision(7)).base == core::revision());
+}
+
+// Guards against a deletion that is lost two nodes further on: the first one
+// reads the whole, the second gets its changes and passes on what it knows.
+TEST_CASE("a copy passes on that its changes may lack deletions")
+{
+    published_state reader;
+    reader.apply(make_changes(0, 5, {written_item("a", 3)}));
+    published_state follower;
+    follower.apply(make_changes(0, 5, {written_item("a", 3)}));
+    published_state last;
+    last.apply(
+        make_changes(0, 7, {written_item("a", 3), written_item("b", 7)}));
+    reader.apply(make_changes(0, 9, {written_item("a", 3)}));
+    follower.apply(reader.since(core::revision(5)));
+    last.apply(follower.since(core::revision(7)));
+    REQUIRE(content(last).count("b") == 0);
+}
+
+// Guards against an item that is written and deleted again while the copy
+// holds the tombstone of an earlier deletion.
+TEST_CASE("an item that a copy is newer than replaces no tombstone")
+{
+    published_state it;
+    it.apply(make_changes(0, 1, {written_item("a", 1)}));
+    it.apply(make_changes(0, 2, {}));
+    it.apply(make_changes(0, 4, {}));
+    it.apply(make_changes(0, 3, {written_item("a", 3)}));
+    REQUIRE(content(it).empty());
+}
+
+namespace {
+
+// A store and copies of it that exchange delayed messages.
+class copies_of_a_store
+{
+public:
+    // Runs one step that `choice` selects.
+    void run_step(std::uint32_t choice)
+    {
+        auto const take = [&](std::uint32_t n) {
+            auto const out = choice % n;
+            choice /= n;
+            return out;
+        };
+        auto const step = take(8);
+        auto& one = copies_[take(3)];
+        auto& other = copies_[take(3)];
+        auto const key = std::string(1, static_cast<char>('a' + take(4)));
+        switch (step)
+        {
+        case 0:
+            write(take(4) == 0 ? large_item(key, revision() + 1)
+                               : written_item(key, revision() + 1));
+            break;
+        case 1:
+            write(deleted_item(key, revision() + 1));
+            break;
+        case 2:
+            in_flight_.push_back({&one, whole()});
+            break;
+        case 3:
+            in_flight_.push_back({&one, changes_after(one.as_of())});
+            break;
+        case 4:
+            in_flight_.push_back({&one, other.since(one.as_of())});
+            break;
+        case 5:
+            // The other node does not know yet what this node holds.
+            in_flight_.push_back({&one, other.since(core::revision())});
+            break;
+        case 6:
+            if (take(4) == 0)
+            {
+                restart(one);
+            }
+            break;
+        default:
+            deliver(take(64));
+            break;
+        }
+    }
+
+    // Delivers what is in flight and lets each copy catch up with one that has
+    // read the store.
+    void settle()
+    {
+        while (!in_flight_.empty())
+        {
+            deliver(0);
+        }
+        deliver_to(copies_[0], changes_after(copies_[0].as_of()));
+        for (auto& it : copies_)
+        {
+            deliver_to(it, copies_[0].since(it.as_of()));
+        }
+    }
+
+    bool all_copies_are_equal()
+    {
+        return std::all_of(copies_.begin(), copies_.end(),
+                           [&](published_state& it) {
+                               return content(it) == content(copies_[0]) &&
+                                      it.as_of() == copies_[0].as_of();
+                           });
+    }
+
+private:
+    struct message
+    {
+        published_state* to;
+        change_set set;
+    };
+
+    std::uint64_t revision() const { return history_.size(); }
+    void write(store_item it) { history_.push_back(std::move(it)); }
+
+    change_set whole() const
+    {
+        std::map<std::string, store_item> newest;
+        for (auto const& it : history_)
+        {
+            newest[it.key] = it;
+        }
+        change_set out{{}, core::revision(revision()), {}, {}};
+        for (auto const& [key, it] : newest)
+        {
+            if (!it.deleted)
+            {
+                out.items.push_back(it);
+            }
+        }
+        return out;
+    }
+
+    change_set changes_after(core::revision base) const
+    {
+        if (base.value() == 0)
+        {
+            return whole();
+        }
+        auto const first =
+            history_.begin() + static_cast<std::ptrdiff_t>(base.value());
+        return {base, core::revision(revision()), {first, history_.end()}, {}};
+    }
+
+    void restart(published_state& it)
+    {
+        it = published_state();
+        in_flight_.erase(
+            std::remove_if(in_flight_.begin(), in_flight_.end(),
+                           [&](message const& m) { return m.to == &it; }),
+            in_flight_.end());
+    }
+
+    void deliver(std::size_t choice)
+    {
+        if (in_flight_.empty())
+        {
+            return;
+        }
+        auto const chosen =
+            in_flight_.begin() +
+            static_cast<std::ptrdiff_t>(choice % in_flight_.size());
+        auto const it = *chosen;
+        in_flight_.erase(chosen);
+        deliver_to(*it.to, it.set);
+    }
+
+    void deliver_to(published_state& to, change_set const& set)
+    {
+        auto const before = to.as_of();
+        if (!to.apply(set).complete)
+        {
+            // The replicator requests the whole state after such a set.
+            to.apply(whole());
+        }
+        RC_ASSERT(to.as_of() >= before);
+        check_invariant(to);
+    }
+
+    // A copy holds for each key what the store held as of the copy's revision,
+    // or something newer.
+    void check_invariant(published_state& it)
+    {
+        auto const held = content(it);
+        std::map<std::string, store_item> expected;
+        std::map<std::string, std::set<std::string>> newer;
+        for (auto const& i : history_)
+        {
+            if (i.revision <= it.as_of())
+            {
+                expected[i.key] = i;
+                continue;
+            }
+            newer[i.key].insert(i.value);
+        }
+        for (auto const* key : {"a", "b", "c", "d"})
+        {
+            auto const held_value =
+                held.count(key) == 0 ? std::string() : held.at(key);
+            RC_ASSERT(held_value == expected[key].value ||
+                      newer[key].count(held_value) != 0);
+        }
+    }
+
+    // The item at index n was written or deleted at revision n + 1.
+    std::vector<store_item> history_{written_item("a", 1)};
+    std::array<published_state, 3> copies_;
+    std::vector<message> in_flight_;
+};
+
+} // namespace
+
+// Guards against copies with equal revisions and different items, which nothing
+// corrects: restarts, whole states and delayed messages may come in any order.
+TEST_CASE("copies never restore a deleted item, in any order of messages")
+{
+    rc::prop("sequences of steps", [](std::vector<std::uint32_t> const& steps) {
+        copies_of_a_store it;
+        for (auto const step : steps)
+        {
+            it.run_step(step);
+        }
+        it.settle();
+        RC_ASSERT(it.all_copies_are_equal());
+    });
+}
+
 TEST_CASE(
     "two copies are equal after the older one applies the missing changes")
 {
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -70,6 +70,12 @@
                  {written_item("a", 9), {"b", "", core::revision(8), true}},
                  {{"c", core::revision(7), core::revision(5), "frame"}}},
                 milliseconds(4)},
+        changes{{core::revision(3),
+                 core::revision(9),
+                 {written_item("a", 9)},
+                 {},
+                 false},
+                milliseconds(4)},
         pull{core::revision(2)}};
     for (auto const& it : messages)
     {
