Membership, Replication: Do not take a watch that was cut for an outage

Cause: each failed call counted as an outage of the store, after which a removed worker stays eligible for 2.3 s, since entries of live workers may have expired. A watch that was cut is no outage, and a short outage expires no entry.

Change: the reader tells a call that the store closed from one without a response. The store counts as away since its last word to any node, or since it closed the call. The directory extends the grace period only if that is at least two heartbeats of the workers; the platform states the heartbeat in its settings (bounds.worker_heartbeat_ms).

--- a/src/membership/tests/worker_directory_test.cpp
+++ b/src/membership/tests/worker_directory_test.cpp
@@ -27,6 +27,9 @@
     return it;
 }
 
+// An outage in which entries expire.
+constexpr milliseconds long_outage{4'000};
+
 entry_removed removed(char const* id)
 {
     return {core::upstream_id(id)};
@@ -74,7 +77,7 @@
     auto other = make_entry("j");
     other.address.port = core::port_number(2);
     it.handle(entry_written{other, {}}, at(0));
-    it.handle(store_regained{}, at(5'000));
+    it.handle(store_regained{long_outage}, at(5'000));
     it.handle(removed("i"), at(5'010));
     it.handle(removed("j"), at(5'010));
     it.handle(timer_expired{}, at(6'900));
@@ -92,11 +95,35 @@
 {
     worker_directory it;
     it.handle(entry_written{make_entry("i"), {}}, at(0));
-    it.handle(store_regained{}, at(5'000));
+    it.handle(store_regained{long_outage}, at(5'000));
     it.handle(removed("i"), at(7'900));
     REQUIRE(it.next_timer() == at(8'500));
 }
 
+// Guards against requests to a worker that has left, later than the platform
+// allows: a watch that was cut counted as an outage of the store (review/5).
+TEST_CASE("an outage too short to expire entries extends no grace period")
+{
+    worker_directory it;
+    it.handle(entry_written{make_entry("i"), {}}, at(0));
+    it.handle(store_regained{milliseconds(2'999)}, at(5'000));
+    it.handle(removed("i"), at(5'100));
+    REQUIRE(it.next_timer() == at(5'700));
+}
+
+// Guards against workers that are taken out although they live, where entries
+// expire sooner than usual.
+TEST_CASE("the shortest outage that counts follows from the heartbeat")
+{
+    directory_settings settings;
+    settings.worker_heartbeat = milliseconds(500);
+    worker_directory it(settings);
+    it.handle(entry_written{make_entry("i"), {}}, at(0));
+    it.handle(store_regained{milliseconds(1'000)}, at(5'000));
+    it.handle(removed("i"), at(5'100));
+    REQUIRE(it.next_timer() == at(7'300));
+}
+
 // Guards against calls to workers that a power loss has ended. Their entries
 // stay in the store for some seconds, while new workers already listen on the
 // same addresses (kovacic-mesh trouble-2: 389 calls were answered with 421).
--- a/src/membership/worker_directory.cpp
+++ b/src/membership/worker_directory.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// The platform removes an entry that its worker has not written for three
+// intervals. The last write is up to one interval before an outage.
+constexpr int intervals_to_expire_entry = 2;
+
 // Returns true if the entries agree in all fields but the id and the remaining
 // warm-up time, so that a new warm-up time alone does not count as a change.
 bool same_entry(worker_entry const& a, worker_entry const& b)
@@ -57,12 +61,20 @@
     return false;
 }
 
-bool worker_directory::on(store_regained const&, core::instant now)
+bool worker_directory::on(store_regained const& it, core::instant now)
 {
-    store_regained_at_ = now;
+    if (may_expire_entries(it.unavailable_for))
+    {
+        store_regained_at_ = now;
+    }
     return false;
 }
 
+bool worker_directory::may_expire_entries(core::milliseconds outage) const
+{
+    return outage >= settings_.worker_heartbeat * intervals_to_expire_entry;
+}
+
 bool worker_directory::on(timer_expired const&, core::instant now)
 {
     bool changed = false;
--- a/src/membership/worker_directory.hpp
+++ b/src/membership/worker_directory.hpp
@@ -4,7 +4,8 @@
 // The entries of workers expire during an outage of the store, and live workers
 // publish them again soon after the store recovers. A worker whose entry is
 // removed without a preceding change to draining therefore stays eligible for a
-// grace period.
+// grace period, which is longer after an outage in which entries may have
+// expired.
 #ifndef YUCCAFALL_MEMBERSHIP_WORKER_DIRECTORY_HPP
 #define YUCCAFALL_MEMBERSHIP_WORKER_DIRECTORY_HPP
 
@@ -28,6 +29,8 @@
     // The time after the store recovers within which all live workers have
     // published their entries again.
     core::milliseconds republish_delay{2'300};
+    // Interval at which workers write their entries.
+    core::milliseconds worker_heartbeat{1'500};
 };
 
 // The store holds a new or changed entry of a worker.
@@ -49,7 +52,10 @@
 };
 // The store is available again after an outage.
 struct store_regained
-{};
+{
+    // The longest time for which the store may have been unavailable.
+    core::milliseconds unavailable_for;
+};
 // The time that worker_directory::next_timer() returned has been reached.
 struct timer_expired
 {};
@@ -94,12 +100,16 @@
     bool on(entry_written const& it, core::instant now);
     bool on(entry_unreadable const&, core::instant) { return false; }
     bool on(entry_removed const& it, core::instant now);
-    bool on(store_regained const&, core::instant now);
+    bool on(store_regained const& it, core::instant now);
+    // Returns whether an outage of this length can end with expired entries of
+    // live workers.
+    bool may_expire_entries(core::milliseconds outage) const;
     bool on(timer_expired const&, core::instant now);
 
     directory_settings settings_;
     std::map<core::upstream_id, record> records_;
-    // When the store last recovered from an outage.
+    // When the store last recovered from an outage in which entries may have
+    // expired.
     std::optional<core::instant> store_regained_at_;
 };
 
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -61,6 +61,13 @@
     return out;
 }
 
+membership::directory_settings directory_settings_of(settings const& it)
+{
+    membership::directory_settings out;
+    out.worker_heartbeat = it.worker_heartbeat;
+    return out;
+}
+
 } // namespace
 
 control_plane::control_plane(boost::asio::io_context& context,
@@ -69,7 +76,8 @@
       publish_(std::move(publish)),
       store_(std::make_shared<platform::store_client>(
           context, platform::store_settings{settings_.platform})),
-      replicator_(replicator_settings_of(settings_), random_seed())
+      replicator_(replicator_settings_of(settings_), random_seed()),
+      directory_(directory_settings_of(settings_))
 {}
 
 core::result<void> control_plane::start()
@@ -246,12 +254,15 @@
          {"waited_ms", store_->call_duration().count()}});
 }
 
-void control_plane::execute(replication::report_store_regained const&)
+void control_plane::execute(replication::report_store_regained const& it)
 {
     store_reachable_ = true;
+    auto const unavailable_for = std::chrono::duration_cast<core::milliseconds>(
+        core::boot_clock::now() - it.last_available_at);
     core::log_event(core::log_level::info, "store_regained",
-                    {{"as_of", replicator_.state().as_of().value()}});
-    update_directory(membership::store_regained{});
+                    {{"as_of", replicator_.state().as_of().value()},
+                     {"unavailable_ms", unavailable_for.count()}});
+    update_directory(membership::store_regained{unavailable_for});
 }
 
 void control_plane::execute(replication::report_reading_changed const& it)
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -61,7 +61,7 @@
     void execute(replication::send_message const& it);
     void execute(replication::deliver_items const& it);
     void execute(replication::report_store_lost const& it);
-    void execute(replication::report_store_regained const&);
+    void execute(replication::report_store_regained const& it);
     void execute(replication::report_reading_changed const& it);
 
     void apply_item(replication::store_item const& it);
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -263,6 +263,8 @@
     reader.scalar("retry_window_s", false, seconds_parser(into.retries.window));
     reader.scalar("longest_drain_s", false,
                   seconds_parser(into.max_drain_time));
+    reader.scalar("worker_heartbeat_ms", false,
+                  number_parser(into.worker_heartbeat, 1, 3'600'000));
     reader.add_unknown_faults();
 }
 
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -41,6 +41,8 @@
     // to them until it knows the list of workers.
     std::vector<core::endpoint> seeds;
     retries::budget_settings retries;
+    // Interval at which workers write their entries to the platform's store.
+    core::milliseconds worker_heartbeat{1'500};
     // Maximum time from SIGTERM to the end of the process.
     core::milliseconds max_drain_time{6'000};
     // The platform ends the process if it uses more memory than this. A part of
--- a/src/node/tests/settings_test.cpp
+++ b/src/node/tests/settings_test.cpp
@@ -26,6 +26,7 @@
   retry_share: 0.25
   retry_slack: 9
   longest_drain_s: 4.5
+  worker_heartbeat_ms: 870
 memory_mb: 100
 link_mbps: 7.6
 )";
@@ -49,6 +50,7 @@
     REQUIRE(it->retries.ratio == core::percentage(25));
     REQUIRE(it->retries.slack == core::queue_length(9));
     REQUIRE(it->max_drain_time == core::milliseconds(4'500));
+    REQUIRE(it->worker_heartbeat == core::milliseconds(870));
     REQUIRE(it->link_bandwidth == core::bytes_per_second(950'000));
     REQUIRE(it->memory_limit == core::byte_count(100UL * 1024 * 1024));
 }
--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -285,13 +285,19 @@
 {
     for (auto const& it : reader_.handle(event, now))
     {
-        std::visit(
-            core::overloaded{[&](apply_changes const& a) {
-                                 apply(a.changes, out);
-                                 notify_peers({}, now, out);
-                             },
-                             [&](auto const& a) { out.emplace_back(a); }},
-            it);
+        std::visit(core::overloaded{
+                       [&](apply_changes const& a) {
+                           apply(a.changes, out);
+                           notify_peers({}, now, out);
+                       },
+                       [&](report_store_regained const& a) {
+                           // Other nodes may have reached the store while
+                           // this one did not.
+                           out.emplace_back(report_store_regained{
+                               std::max(a.last_available_at, confirmed_at_)});
+                       },
+                       [&](auto const& a) { out.emplace_back(a); }},
+                   it);
     }
 }
 
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -17,7 +17,7 @@
     return out;
 }
 
-void store_reader::record_success(actions& out)
+void store_reader::record_response(actions& out)
 {
     call_in_flight_ = false;
     connection_idle_ = false;
@@ -25,7 +25,8 @@
     response_timeout_ = settings_.min_response_timeout;
     if (std::exchange(store_lost_, false))
     {
-        out.emplace_back(report_store_regained{});
+        out.emplace_back(
+            report_store_regained{std::exchange(last_available_at_, {})});
     }
 }
 
@@ -57,7 +58,7 @@
 
 void store_reader::on(page_read const& it, core::instant, actions& out)
 {
-    record_success(out);
+    record_response(out);
     if (!first_page_revision_)
     {
         first_page_revision_ = it.as_of;
@@ -80,7 +81,7 @@
 
 void store_reader::on(watch_answered const& it, core::instant now, actions& out)
 {
-    record_success(out);
+    record_response(out);
     auto const base = watch_after_;
     watch_after_ = std::max(watch_after_, it.as_of);
     if (it.items.empty())
@@ -94,7 +95,7 @@
 
 void store_reader::on(history_discarded const&, core::instant, actions& out)
 {
-    record_success(out);
+    record_response(out);
     watch_after_ = core::revision();
     start_call(out);
 }
@@ -113,6 +114,7 @@
     if (!std::exchange(store_lost_, true))
     {
         out.emplace_back(report_store_lost{it.reason});
+        last_available_at_ = it.closed_by_store ? now : core::instant();
     }
     response_timeout_ =
         std::min(response_timeout_ * 2, settings_.max_response_timeout);
--- a/src/replication/store_reader.hpp
+++ b/src/replication/store_reader.hpp
@@ -67,6 +67,9 @@
 struct call_failed
 {
     std::string reason;
+    // True if the connection ended while the store held the call, without a
+    // response and before the timeout. The store was available until then.
+    bool closed_by_store = false;
 };
 // The time that store_reader::next_timer() returned has been reached.
 struct reader_timer_expired
@@ -129,8 +132,13 @@
 {
     std::string reason;
 };
+// The store responds again.
 struct report_store_regained
-{};
+{
+    // The last time before the first failed call at which the store is known to
+    // have been available. It is the clock's epoch if that is not known.
+    core::instant last_available_at{};
+};
 using reader_action = std::variant<read_page, watch, apply_changes,
                                    report_store_lost, report_store_regained>;
 
@@ -158,7 +166,7 @@
     void on(reader_timer_expired const&, core::instant now, actions& out);
     void on(revision_advanced const& it, core::instant now, actions& out);
     void on(reading_toggled const& it, core::instant now, actions& out);
-    void record_success(actions& out);
+    void record_response(actions& out);
     void start_call(actions& out);
 
     reader_settings settings_;
@@ -167,6 +175,8 @@
     bool call_in_flight_ = false;
     // True if the last call failed.
     bool store_lost_ = false;
+    // Invariant: this is the clock's epoch unless store_lost_ is set.
+    core::instant last_available_at_{};
     // The revision after which the next watch starts. Invariant: it is 0 until
     // the whole state has been read from the store or received from a peer, and
     // again after the history that the watch needs was discarded by the store
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -232,6 +232,49 @@
 
 namespace {
 
+// Returns the report of a reader whose watch, which began at 204 ms, fails at
+// 900 ms and whose next call succeeds at 1,000 ms. Other nodes confirm its copy
+// in between if `confirmed` is set.
+report_store_regained regain_after(call_failed const& failure, bool confirmed)
+{
+    auto it = make_replicator();
+    it.handle(started{}, at(0));
+    it.handle(role_assigned{true}, at(200));
+    it.handle(timer_expired{}, at(200));
+    it.handle(page_read{{written_item("a", 9)}, core::revision(9), false},
+              at(204));
+    it.handle(failure, at(900));
+    if (confirmed)
+    {
+        it.handle(link_opened{peer_link}, at(950));
+        it.handle(message_received{peer_link, digest_of(9, 10)}, at(960));
+    }
+    it.handle(timer_expired{}, at(990));
+    return actions_of<report_store_regained>(
+               it.handle(watch_answered{{}, core::revision(9)}, at(1'000)))
+        .front();
+}
+
+} // namespace
+
+// Guards against a watch that was cut and counts as an outage of the store. The
+// workers' entries are trusted less after an outage.
+TEST_CASE("a store that closes a call was available until then")
+{
+    REQUIRE(regain_after(call_failed{"eof", true}, false).last_available_at ==
+            at(900));
+}
+
+TEST_CASE("a store that does not respond may be away since its last response")
+{
+    call_failed const failure{"no response"};
+    REQUIRE(regain_after(failure, false).last_available_at == at(204));
+    // The store was reached by another node.
+    REQUIRE(regain_after(failure, true).last_available_at == at(950));
+}
+
+namespace {
+
 // Simulates a mesh of nodes that run the real replicator, a store that keeps
 // its history, and store connections that can be cut. Time advances from event
 // to event.
--- a/stand_ins/fake_store.cpp
+++ b/stand_ins/fake_store.cpp
@@ -139,6 +139,11 @@
     {
         return;
     }
+    if (mode_ == store_mode::closing)
+    {
+        caller->close();
+        return;
+    }
     if (mode_ == store_mode::unavailable)
     {
         caller->send_response(make_response(503, json::object()));
--- a/stand_ins/fake_store.hpp
+++ b/stand_ins/fake_store.hpp
@@ -23,6 +23,8 @@
     unavailable,
     // The store accepts connections but never sends a response.
     unresponsive,
+    // The store closes the connection of every request without a response.
+    closing,
 };
 
 class fake_store
