Admission: Do not take the call that a worker answers for a lost one

The log had handler_failed reason=map::at.

Cause: the load report in a response is handled before the end of its call. If the report shows that calls are lost, the queue took the most overdue one, which can be the one that has just been answered; the worker's owner no longer holds it, and the exception skipped the rest of the handler, with the answer in it.

Change: the report names the call whose response carries it, and the queue does not take that one for lost. The calls that are lost are now found in its place.

Evidence: "a call whose response carries the report is not lost" fails without the condition and passes with it.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -353,8 +353,8 @@
     start_ready_calls(now, out);
 }
 
-void slot_queue::find_lost_calls(worker_load const& load, core::instant now,
-                                 actions& out)
+void slot_queue::find_lost_calls(load_reported const& report,
+                                 core::instant now, actions& out)
 {
     std::vector<
         std::pair<double, std::map<core::call_id, running_call>::iterator>>
@@ -374,15 +374,15 @@
                 std::max<core::duration>(it->second.expected_service_time,
                                          settings_.report_delay)
                     .count());
-        if (ratio >= min_overdue_ratio)
+        if (ratio >= min_overdue_ratio && it->first != report.answered_call)
         {
             overdue.emplace_back(ratio, it);
         }
     }
     // The call whose response carries the report may or may not be counted.
     std::size_t const reported =
-        static_cast<std::size_t>(load.running.value()) + load.waiting.value() +
-        1;
+        static_cast<std::size_t>(report.load.running.value()) +
+        report.load.waiting.value() + 1;
     std::sort(overdue.begin(), overdue.end(),
               [](auto const& a, auto const& b) { return a.first > b.first; });
     for (auto const& [ratio, it] : overdue)
@@ -407,7 +407,7 @@
     auto const reported_calls =
         static_cast<std::size_t>(it.load.running.value()) +
         it.load.waiting.value();
-    find_lost_calls(it.load, now, out);
+    find_lost_calls(it, now, out);
     auto const own_calls = running() + 1;
     external_calls_ =
         reported_calls > own_calls ? reported_calls - own_calls : 0;
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -119,6 +119,9 @@
 struct load_reported
 {
     worker_load load;
+    // The call whose response carries the report. It still counts as running,
+    // and it is not lost.
+    std::optional<core::call_id> answered_call = std::nullopt;
 };
 // The worker, or a node that knows its responses, has stated its rate.
 struct rate_stated
@@ -267,7 +270,7 @@
 
     // Finds the calls that the worker does not have, by the number of calls
     // that it reports.
-    void find_lost_calls(worker_load const& load, core::instant now,
+    void find_lost_calls(load_reported const& report, core::instant now,
                          actions& out);
     void start_ready_calls(core::instant now, actions& out);
     // Refuses waiting calls that have too little time left before their
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -710,6 +710,21 @@
     REQUIRE(started(f.offer(6, 1'000)).empty());
 }
 
+// Guards against an answer that is thrown away: the report in the response of an
+// overdue call showed that others are lost, and the call was taken for one of
+// them (seen in the review, with four lost calls beside a run of 900 ms).
+TEST_CASE("a call whose response carries the report is not lost")
+{
+    fixture f(3);
+    f.offer(1, 0);
+    f.offer(2, 300);
+    f.offer(3, 350);
+    auto const report = load_reported{make_load(0), call(1)};
+    REQUIRE(lost(f.queue->handle(report, at(1'200))) == call_numbers{2, 3});
+    f.end(1, 1'200);
+    REQUIRE(f.queue->running() == 0);
+}
+
 TEST_CASE("a call that may still be on its way is not lost")
 {
     fixture f(3);
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -528,7 +528,7 @@
         outcome);
     if (load != nullptr && *load)
     {
-        handle_event(admission::load_reported{**load});
+        handle_event(admission::load_reported{**load, key});
     }
     if (rejected)
     {
