Membership: Let an entry of a service that is not named hide no worker

Cause: of several entries with one address only the newest was used, whichever service it named. On the same way such an entry set the slots of the worker beside a node and took a place in the topology of replication.

Change: the directory is told the services that the configuration names. Other entries are kept, but they are neither eligible nor known and hide nothing, until a configuration names their service.

Evidence: "an entry of a service that is not named hides no worker" fails if all services count as named, and passes with the rule.

--- a/src/membership/tests/worker_directory_test.cpp
+++ b/src/membership/tests/worker_directory_test.cpp
@@ -136,6 +136,28 @@
     REQUIRE(it.eligible_workers().front().id == core::upstream_id("j"));
 }
 
+// Guards against an outage caused by entries of another writer: they hid the
+// workers at the same addresses, so that nothing was served (review/3).
+TEST_CASE("an entry of a service that is not named hides no worker")
+{
+    worker_directory it;
+    it.handle(services_named{{core::service_name("s")}}, at(0));
+    it.handle(entry_written{make_entry("i"), core::revision(4)}, at(0));
+    auto foreign = make_entry("j");
+    foreign.service = core::service_name("unknown");
+    foreign.slots = core::slot_count(99);
+    it.handle(entry_written{foreign, core::revision(9)}, at(1));
+    REQUIRE(it.eligible_workers().size() == 1);
+    REQUIRE(it.eligible_workers().front().id == core::upstream_id("i"));
+    // The node beside the worker would take over the slots.
+    REQUIRE(it.known_workers().size() == 1);
+    // A later configuration may name the service.
+    REQUIRE(it.handle(services_named{{core::service_name("s"),
+                                      core::service_name("unknown")}},
+                      at(2)));
+    REQUIRE(it.eligible_workers().front().id == core::upstream_id("j"));
+}
+
 TEST_CASE("an entry that cannot be decoded neither adds nor removes a worker")
 {
     worker_directory it;
--- a/src/membership/worker_directory.cpp
+++ b/src/membership/worker_directory.cpp
@@ -75,6 +75,18 @@
     return outage >= settings_.worker_heartbeat * intervals_to_expire_entry;
 }
 
+bool worker_directory::on(services_named const& it, core::instant)
+{
+    bool const changed = named_services_ != it.services;
+    named_services_ = it.services;
+    return changed;
+}
+
+bool worker_directory::is_named(core::service_name const& service) const
+{
+    return !named_services_ || named_services_->count(service) != 0;
+}
+
 bool worker_directory::on(timer_expired const&, core::instant now)
 {
     bool changed = false;
@@ -96,6 +108,10 @@
     std::map<core::endpoint, core::revision> newest;
     for (auto const& [id, it] : records_)
     {
+        if (!is_named(it.entry.service))
+        {
+            continue;
+        }
         auto& revision = newest[it.entry.address];
         revision = std::max(revision, it.revision);
     }
@@ -103,6 +119,7 @@
     for (auto const& [id, it] : records_)
     {
         if (it.entry.state == worker_state::ready &&
+            is_named(it.entry.service) &&
             it.revision == newest.at(it.entry.address))
         {
             out.push_back(it.entry);
@@ -117,7 +134,10 @@
     std::map<core::upstream_id, worker_entry> out;
     for (auto const& [id, it] : records_)
     {
-        out.emplace(id, it.entry);
+        if (is_named(it.entry.service))
+        {
+            out.emplace(id, it.entry);
+        }
     }
     return out;
 }
--- a/src/membership/worker_directory.hpp
+++ b/src/membership/worker_directory.hpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -56,12 +57,19 @@
     // The longest time for which the store may have been unavailable.
     core::milliseconds unavailable_for;
 };
+// The configuration in force names these services. An entry of another service
+// is kept, but it names no worker to use until its service is named. Before the
+// first event of this kind all services count as named.
+struct services_named
+{
+    std::set<core::service_name> services;
+};
 // The time that worker_directory::next_timer() returned has been reached.
 struct timer_expired
 {};
 using directory_event =
     std::variant<entry_written, entry_unreadable, entry_removed, store_regained,
-                 timer_expired>;
+                 services_named, timer_expired>;
 
 class worker_directory
 {
@@ -74,12 +82,12 @@
     bool handle(directory_event const& event, core::instant now);
 
     // Returns the workers that may get new requests, ordered by id. If several
-    // entries have the same address, only the newest one is used: the workers
-    // of the older entries have ended.
+    // entries of named services have the same address, only the newest one is
+    // used: the workers of the older entries have ended.
     std::vector<worker_entry> eligible_workers() const;
 
-    // Returns all workers that have an entry or whose entry was removed only
-    // recently, including those that drain.
+    // Returns all workers of named services that have an entry or whose entry
+    // was removed only recently, including those that drain.
     std::map<core::upstream_id, worker_entry> known_workers() const;
 
     // Returns when handle() needs the next timer_expired event, or nothing if
@@ -104,10 +112,13 @@
     // Returns whether an outage of this length can end with expired entries of
     // live workers.
     bool may_expire_entries(core::milliseconds outage) const;
+    bool on(services_named const& it, core::instant);
     bool on(timer_expired const&, core::instant now);
+    bool is_named(core::service_name const& service) const;
 
     directory_settings settings_;
     std::map<core::upstream_id, record> records_;
+    std::optional<std::set<core::service_name>> named_services_;
     // When the store last recovered from an outage in which entries may have
     // expired.
     std::optional<core::instant> store_regained_at_;
