Upstream: Notice a crash also when the caller has left

Cause: the end of a canceled call was handled with an early return that came before the check for a crash.

Change: the check comes first. A call that is broken off by this node ends with another cause and is not taken for a crash, as before.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -652,15 +652,16 @@
 
 void worker_owner::report_outcome(call_entry& call, worker_failed& outcome)
 {
+    // A canceled call that is not idempotent runs on and may crash the worker.
+    if (outcome.cause == http::failure_cause::closed_without_response)
+    {
+        check_for_crash(call.fingerprint);
+    }
     if (call.canceled)
     {
         return;
     }
     core::add(counters_->failed);
-    if (outcome.cause == http::failure_cause::closed_without_response)
-    {
-        check_for_crash(call.fingerprint);
-    }
     auto const kind = outcome.cause == http::failure_cause::timed_out
                           ? error_kind::deadline_passed
                           : error_kind::upstream_failed;
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -380,6 +380,27 @@
     REQUIRE(count_crashed_workers() == 2);
 }
 
+// Guards against a request that crashes worker after worker unnoticed, because
+// its caller has disconnected before each crash (review/2).
+TEST_CASE("a crash is noticed although the caller has disconnected")
+{
+    running_deployment fleet(
+        {{"a", "shop", 6, core::milliseconds(20'000)},
+         {"a", "desk", 6, core::milliseconds(5)}},
+        {{"/buy/", "non_idempotent", "shop", 30'000, 7'000}});
+    auto const it = fleet.call(1, deployment::request("/buy/x", "g", "POST"),
+                               core::milliseconds(200));
+    REQUIRE(it.status == 0);
+    REQUIRE(fleet.worker(0).counts().runs.count("g") == 1);
+    // The calls give the nodes time to learn that the caller has left.
+    for (int i = 0; i < 100; ++i)
+    {
+        fleet.call(1, deployment::request("/none/", "wait"));
+    }
+    fleet.worker(0).crash();
+    REQUIRE(fleet.wait_for_log(0, "event=worker_crashed"));
+}
+
 // Guards against a worker that keeps running a request after its caller has
 // disconnected, because the node does not cancel the request.
 TEST_CASE("a request whose caller disconnects is canceled at the worker")
