Poison: Clear a request that has completed at any worker

Cause: the blame was lifted by a timer alone. Complete runs of the same request counted only at the node beside the crashed worker, whose memory is empty after a start.

Change: nodes tell their traffic threads the suspects from the first crash on. A node whose worker completes a suspect, or has completed it within 60 s, floods a notice, and all nodes drop the crashes counted against it.

--- a/src/ingress/traffic_view.hpp
+++ b/src/ingress/traffic_view.hpp
@@ -29,6 +29,9 @@
     core::node_count nodes{1};
     // These requests crash the workers that run them.
     std::set<poison::fingerprint> poisoned;
+    // These requests were running when a worker crashed. They include those in
+    // `poisoned`.
+    std::set<poison::fingerprint> suspects;
 };
 
 } // namespace yuccafall::ingress
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -41,9 +41,9 @@
 
 control_links::control_links(boost::asio::io_context& context,
                              event_handler on_event,
-                             crash_notice_handler on_crash_notice)
+                             poison_notice_handler on_poison_notice)
     : context_(context), timer_(context), on_event_(std::move(on_event)),
-      on_crash_notice_(std::move(on_crash_notice))
+      on_poison_notice_(std::move(on_poison_notice))
 {}
 
 core::result<void> control_links::listen(core::endpoint const& at)
@@ -220,14 +220,14 @@
             fail(notice.error());
             return;
         }
-        on_crash_notice_(*notice);
+        on_poison_notice_(*notice);
         return;
     }
     }
     fail({core::error_kind::bad_frame, "control frame has an unknown type"});
 }
 
-void control_links::send(link_id to, poison::crash_notice const& it)
+void control_links::send(link_id to, poison::notice const& it)
 {
     auto const found = links_.find(to);
     if (found != links_.end())
@@ -237,7 +237,7 @@
     }
 }
 
-void control_links::broadcast(poison::crash_notice const& it)
+void control_links::broadcast(poison::notice const& it)
 {
     for (auto const& [link, connection] : links_)
     {
--- a/src/node/control_links.hpp
+++ b/src/node/control_links.hpp
@@ -1,6 +1,6 @@
 // Manages the control connections between nodes. It keeps a connection to each
 // replication source open, accepts connections from other nodes, and decodes
-// their frames into replication events and crash notices.
+// their frames into replication events and notices about poison requests.
 #ifndef YUCCAFALL_NODE_CONTROL_LINKS_HPP
 #define YUCCAFALL_NODE_CONTROL_LINKS_HPP
 
@@ -25,11 +25,10 @@
 public:
     using event_handler =
         std::function<void(replication::replicator_event const&)>;
-    using crash_notice_handler =
-        std::function<void(poison::crash_notice const&)>;
+    using poison_notice_handler = std::function<void(poison::notice const&)>;
 
     control_links(boost::asio::io_context& context, event_handler on_event,
-                  crash_notice_handler on_crash_notice);
+                  poison_notice_handler on_poison_notice);
 
     core::result<void> listen(core::endpoint const& at);
     core::endpoint local() const { return acceptor_->local(); }
@@ -39,9 +38,9 @@
     void set_sources(std::set<core::endpoint> const& sources);
 
     void send(replication::link_id to, replication::message const& it);
-    void send(replication::link_id to, poison::crash_notice const& it);
+    void send(replication::link_id to, poison::notice const& it);
     // Sends the notice to all connected nodes.
-    void broadcast(poison::crash_notice const& it);
+    void broadcast(poison::notice const& it);
     void stop();
 
 private:
@@ -65,7 +64,7 @@
     boost::asio::io_context& context_;
     boost::asio::steady_timer timer_;
     event_handler on_event_;
-    crash_notice_handler on_crash_notice_;
+    poison_notice_handler on_poison_notice_;
     std::shared_ptr<transport::frame_acceptor> acceptor_;
     std::map<core::endpoint, source_state> sources_;
     std::map<replication::link_id, std::shared_ptr<transport::frame_connection>>
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -90,10 +90,10 @@
                 self->handle_event(it);
             }
         },
-        [weak = weak_from_this()](poison::crash_notice const& it) {
+        [weak = weak_from_this()](poison::notice const& it) {
             if (auto const self = weak.lock())
             {
-                self->handle_crash_notice(it);
+                self->handle_poison_notice(it);
             }
         });
     if (auto listening = links_->listen(settings_.control); !listening)
@@ -115,7 +115,7 @@
     links_->stop();
 }
 
-void control_plane::handle_crash_notice(poison::crash_notice const& it)
+void control_plane::handle_poison_notice(poison::notice const& it)
 {
     auto const now = core::boot_clock::now();
     auto const before = suspects_.poisoned(now);
@@ -124,13 +124,18 @@
         return;
     }
     links_->broadcast(it);
-    if (suspects_.poisoned(now) != before)
+    auto const after = suspects_.poisoned(now);
+    auto const request =
+        std::visit([](auto const& n) { return n.request; }, it);
+    if (after.size() != before.size())
     {
-        core::log_event(core::log_level::warning, "request_poisoned",
-                        {{"request", it.request.value()}});
-        view_outdated_ = true;
-        publish_view();
+        core::log_event(core::log_level::warning,
+                        after.count(request) != 0 ? "request_poisoned"
+                                                  : "request_cleared",
+                        {{"request", request.value()}});
     }
+    view_outdated_ = true;
+    publish_view();
     set_timer();
 }
 
@@ -404,6 +409,7 @@
         }
     }
     view->poisoned = suspects_.poisoned(core::boot_clock::now());
+    view->suspects = suspects_.suspects(core::boot_clock::now());
     view->nodes = core::node_count(std::max<std::size_t>(nodes.size(), 1));
     view_ = std::move(view);
     publish_(view_);
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -39,7 +39,7 @@
     // Handles a notice that a request was running in a worker when the worker
     // crashed. The notice comes from this node's own worker or from another
     // node.
-    void handle_crash_notice(poison::crash_notice const& it);
+    void handle_poison_notice(poison::notice const& it);
 
     // Returns true once the node has a configuration and has received the
     // content of the store.
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -38,9 +38,9 @@
         : settings_(std::move(it)), settings_path_(std::move(settings_path)),
           signals_(context_, SIGTERM, SIGINT, SIGHUP), drain_timer_(context_),
           traffic_(settings_, platform::header_codec(),
-                   [this](poison::crash_notice const& notice) {
+                   [this](poison::notice const& notice) {
                        asio::post(context_, [this, notice] {
-                           control_->handle_crash_notice(notice);
+                           control_->handle_poison_notice(notice);
                        });
                    })
     {}
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -47,9 +47,9 @@
 
 traffic_plane::traffic_plane(
     node::settings settings, metadata::header_codec header_codec,
-    upstream::worker_owner::crash_notice_handler on_crash_notice)
+    upstream::worker_owner::poison_notice_handler on_poison_notice)
     : settings_(std::move(settings)), header_codec_(header_codec),
-      on_crash_notice_(std::move(on_crash_notice)),
+      on_poison_notice_(std::move(on_poison_notice)),
       ingress_counters_(std::make_shared<ingress::counters>()),
       upstream_counters_(std::make_shared<upstream::counters>())
 {}
@@ -75,7 +75,7 @@
             core::byte_count(settings_.memory_limit.value() /
                              response_memory_divisor),
             core::incarnation(random_seed())},
-        header_codec_, on_crash_notice_, upstream_counters_, link_);
+        header_codec_, on_poison_notice_, upstream_counters_, link_);
     auto peer_server = peers::peer_server::listen(
         context_, settings_.traffic,
         {[owner = owner_](peers::session_id from, peers::message message,
@@ -124,6 +124,7 @@
 {
     asio::post(context_, [this, view = std::move(view)]() mutable {
         owner_->set_workers(view->local_workers);
+        owner_->set_suspects(view->suspects);
         ingress_->set_view(std::move(view));
     });
 }
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -27,8 +27,9 @@
 public:
     // The handler is called on the traffic thread for each request that was
     // running in the worker when the worker crashed.
-    traffic_plane(node::settings settings, metadata::header_codec header_codec,
-                  upstream::worker_owner::crash_notice_handler on_crash_notice);
+    traffic_plane(
+        node::settings settings, metadata::header_codec header_codec,
+        upstream::worker_owner::poison_notice_handler on_poison_notice);
     ~traffic_plane();
 
     core::result<void> start();
@@ -60,7 +61,7 @@
 private:
     node::settings settings_;
     metadata::header_codec header_codec_;
-    upstream::worker_owner::crash_notice_handler on_crash_notice_;
+    upstream::worker_owner::poison_notice_handler on_poison_notice_;
     std::shared_ptr<ingress::counters> ingress_counters_;
     std::shared_ptr<upstream::counters> upstream_counters_;
     boost::asio::io_context context_{1};
--- a/src/poison/codec.hpp
+++ b/src/poison/codec.hpp
@@ -1,4 +1,5 @@
-// Encodes crash notices as msgpack frames and decodes them.
+// Encodes notices of crashes and of completions as msgpack frames and decodes
+// them.
 #ifndef YUCCAFALL_POISON_CODEC_HPP
 #define YUCCAFALL_POISON_CODEC_HPP
 
@@ -10,10 +11,10 @@
 
 namespace yuccafall::poison {
 
-std::string encode(crash_notice const& it);
+std::string encode(notice const& it);
 
 // Fails with bad_frame if the frame is not one that encode() produces.
-core::result<crash_notice> decode(std::string_view frame);
+core::result<notice> decode(std::string_view frame);
 
 } // namespace yuccafall::poison
 
--- a/src/poison/crash_detector.cpp
+++ b/src/poison/crash_detector.cpp
@@ -25,8 +25,8 @@
     interrupted_.clear();
 }
 
-void crash_detector::request_completed(fingerprint const& request,
-                                       core::instant now)
+std::optional<completion_notice>
+crash_detector::request_completed(fingerprint const& request, core::instant now)
 {
     auto const found = completed_requests_.find(request);
     if (found == completed_requests_.end() &&
@@ -36,6 +36,33 @@
         completed_requests_.clear();
     }
     completed_requests_[request] = now;
+    if (suspects_.erase(request) == 0)
+    {
+        return std::nullopt;
+    }
+    return completion_notice{request, suspect_list::cleared_ttl};
+}
+
+std::vector<completion_notice>
+crash_detector::set_suspects(std::set<fingerprint> suspects, core::instant now)
+{
+    std::vector<completion_notice> out;
+    for (auto const& request : suspects)
+    {
+        auto const found = completed_requests_.find(request);
+        if (suspects_.count(request) != 0 || found == completed_requests_.end())
+        {
+            continue;
+        }
+        auto const remaining = std::chrono::duration_cast<core::milliseconds>(
+            found->second + completed_request_ttl - now);
+        if (remaining.count() > 0)
+        {
+            out.push_back({request, remaining});
+        }
+    }
+    suspects_ = std::move(suspects);
+    return out;
 }
 
 bool crash_detector::completed_recently(fingerprint const& request,
--- a/src/poison/crash_detector.hpp
+++ b/src/poison/crash_detector.hpp
@@ -12,6 +12,8 @@
 #define YUCCAFALL_POISON_CRASH_DETECTOR_HPP
 
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "core/units.hpp"
@@ -30,7 +32,14 @@
     bool request_interrupted(fingerprint const& request, core::instant now);
 
     // Records a request that the worker answered with a complete response.
-    void request_completed(fingerprint const& request, core::instant now);
+    // Returns a notice if the request is a suspect.
+    std::optional<completion_notice>
+    request_completed(fingerprint const& request, core::instant now);
+
+    // Replaces the suspects of all nodes. Returns a notice for each suspect
+    // that is new and has completed here recently.
+    std::vector<completion_notice> set_suspects(std::set<fingerprint> suspects,
+                                                core::instant now);
 
     // Ends the probe: the worker accepted the connection and has not crashed.
     void probe_succeeded();
@@ -64,6 +73,7 @@
     std::uint64_t crash_count_ = 0;
     // Requests that become suspects if the worker is found to have crashed.
     std::vector<interrupted_request> interrupted_;
+    std::set<fingerprint> suspects_;
     // For each fingerprint, when a request with it last completed.
     std::map<fingerprint, core::instant> completed_requests_;
     bool probe_pending_ = false;
--- a/src/poison/tests/poison_test.cpp
+++ b/src/poison/tests/poison_test.cpp
@@ -23,6 +23,11 @@
     return {fingerprint(request), {core::incarnation(node), number}};
 }
 
+completion_notice completed(std::uint64_t request)
+{
+    return {fingerprint(request), suspect_list::cleared_ttl};
+}
+
 fingerprint const poisonous(7);
 fingerprint const harmless(8);
 
@@ -72,19 +77,73 @@
     rc::prop("orders", [](std::vector<std::uint8_t> numbers) {
         suspect_list forward;
         suspect_list backward;
+        auto const notice_of = [](std::uint8_t n) {
+            return n % 11 == 0 ? notice(completed(n % 4))
+                               : notice(make_notice(n % 4, n % 3, n % 5));
+        };
         for (auto const n : numbers)
         {
-            forward.merge(make_notice(n % 4, n % 3, n % 5), at(0));
+            forward.merge(notice_of(n), at(0));
         }
         std::reverse(numbers.begin(), numbers.end());
         for (auto const n : numbers)
         {
-            backward.merge(make_notice(n % 4, n % 3, n % 5), at(0));
+            backward.merge(notice_of(n), at(0));
         }
         RC_ASSERT(forward.poisoned(at(1)) == backward.poisoned(at(1)));
     });
 }
 
+// Guards against refusing a common request everywhere after two crashes of
+// workers whose nodes have not seen it complete (review/4).
+TEST_CASE("a suspect that has completed at any worker is cleared")
+{
+    suspect_list it;
+    it.merge(make_notice(8, 1, 1), at(0));
+    it.merge(make_notice(8, 2, 1), at(1));
+    REQUIRE(it.poisoned(at(2)).size() == 1);
+    REQUIRE(it.merge(completed(8), at(3)));
+    REQUIRE(it.poisoned(at(4)).empty());
+    REQUIRE_FALSE(it.merge(completed(8), at(4)));
+    // Further crashes do not count for a while.
+    REQUIRE_FALSE(it.merge(make_notice(8, 3, 1), at(5)));
+    REQUIRE_FALSE(it.merge(make_notice(8, 4, 1), at(6)));
+    REQUIRE(it.poisoned(at(7)).empty());
+    // Another request stays poisoned.
+    it.merge(make_notice(7, 1, 1), at(8));
+    it.merge(make_notice(7, 2, 1), at(9));
+    REQUIRE(it.poisoned(at(10)) == std::set<fingerprint>{poisonous});
+    // A node that connects later learns both.
+    suspect_list late;
+    for (auto const& n : it.notices(at(30'000)))
+    {
+        late.merge(n, at(30'000));
+    }
+    REQUIRE(late.poisoned(at(30'001)) == std::set<fingerprint>{poisonous});
+    REQUIRE_FALSE(late.merge(make_notice(8, 5, 1), at(60'000)));
+    // Passing the notice on has not prolonged it.
+    REQUIRE(late.merge(make_notice(8, 5, 1), at(60'010)));
+}
+
+TEST_CASE("a node reports suspects that complete or have completed there")
+{
+    crash_detector it{core::incarnation(1)};
+    REQUIRE_FALSE(it.request_completed(harmless, at(0)));
+    auto const before = it.set_suspects({harmless, poisonous}, at(10'000));
+    REQUIRE(before.size() == 1);
+    REQUIRE(before.front().request == harmless);
+    REQUIRE(before.front().remaining == core::milliseconds(50'000));
+    REQUIRE(it.set_suspects({harmless, poisonous}, at(10'001)).empty());
+    auto const after = it.request_completed(poisonous, at(11'000));
+    REQUIRE(after);
+    REQUIRE(after->request == poisonous);
+    // It is reported once.
+    REQUIRE_FALSE(it.request_completed(poisonous, at(11'001)));
+    // A completion long ago clears nothing.
+    REQUIRE(it.set_suspects({}, at(12'000)).empty());
+    REQUIRE(it.set_suspects({poisonous}, at(71'001)).empty());
+}
+
 // Guards against suspecting requests whose responses were lost. A worker that
 // still accepts connections has not crashed.
 TEST_CASE("responses lost by a live worker make no request a suspect")
@@ -138,8 +197,15 @@
 
 TEST_CASE("a notice can be encoded and decoded, and other bytes are refused")
 {
-    auto const bytes = encode(make_notice(~0ULL, 5, 6));
-    REQUIRE(decode(bytes)->request == fingerprint(~0ULL));
+    auto const crash =
+        std::get<crash_notice>(*decode(encode(make_notice(~0ULL, 5, 6))));
+    REQUIRE(crash.request == fingerprint(~0ULL));
+    REQUIRE(crash.crash.node == core::incarnation(5));
+    REQUIRE(crash.crash.number == 6);
+    auto const completion =
+        std::get<completion_notice>(*decode(encode(completed(~0ULL))));
+    REQUIRE(completion.request == fingerprint(~0ULL));
+    REQUIRE(completion.remaining == completed(0).remaining);
     rc::prop("bytes", [](std::string const& any) {
         auto const it = decode(any);
         RC_ASSERT(it || it.error().kind == core::error_kind::bad_frame);
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -114,7 +114,7 @@
 worker_owner::worker_owner(boost::asio::io_context& context,
                            worker_owner_settings const& settings,
                            metadata::header_codec header_codec,
-                           crash_notice_handler on_crash_notice,
+                           poison_notice_handler on_poison_notice,
                            std::shared_ptr<counters> counters,
                            std::shared_ptr<transport::paced_link> link)
     : queue_timer_(context), header_codec_(header_codec),
@@ -123,7 +123,7 @@
           client_settings_of(settings))),
       queue_(queue_settings_of(settings)), load_timer_(context),
       crash_detector_(settings.incarnation),
-      on_crash_notice_(std::move(on_crash_notice)),
+      on_poison_notice_(std::move(on_poison_notice)),
       counters_(std::move(counters)), link_(std::move(link))
 {}
 
@@ -263,6 +263,16 @@
     update_queue_draining();
 }
 
+void worker_owner::set_suspects(std::set<poison::fingerprint> suspects)
+{
+    auto const notices = crash_detector_.set_suspects(std::move(suspects),
+                                                      core::boot_clock::now());
+    for (auto const& it : notices)
+    {
+        on_poison_notice_(it);
+    }
+}
+
 void worker_owner::update_queue_draining()
 {
     if (draining_)
@@ -588,7 +598,11 @@
 void worker_owner::report_outcome(call_entry& call, worker_answered& outcome)
 {
     auto const now = core::boot_clock::now();
-    crash_detector_.request_completed(call.fingerprint, now);
+    if (auto const notice =
+            crash_detector_.request_completed(call.fingerprint, now))
+    {
+        on_poison_notice_(*notice);
+    }
     auto const run_time = to_milliseconds(now - call.started_at);
     call.reply(
         peers::answered{call.offer.call, std::move(outcome.response), run_time,
@@ -645,7 +659,7 @@
             core::log_event(
                 core::log_level::warning, "worker_crashed",
                 {{"suspect", it.request.value()}, {"crash", it.crash.number}});
-            self->on_crash_notice_(it);
+            self->on_poison_notice_(it);
         }
     });
 }
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -72,15 +72,14 @@
 class worker_owner : public std::enable_shared_from_this<worker_owner>
 {
 public:
-    using crash_notice_handler =
-        std::function<void(poison::crash_notice const&)>;
+    using poison_notice_handler = std::function<void(poison::notice const&)>;
 
     // The handler is called for each request that was running in the worker
-    // when the worker crashed.
+    // when the worker crashed, and for each suspect that has completed.
     worker_owner(boost::asio::io_context& context,
                  worker_owner_settings const& settings,
                  metadata::header_codec header_codec,
-                 crash_notice_handler on_crash_notice,
+                 poison_notice_handler on_poison_notice,
                  std::shared_ptr<counters> counters,
                  std::shared_ptr<transport::paced_link> link = nullptr);
 
@@ -91,6 +90,8 @@
     void on_session_closed(session_id closed_session);
 
     void set_workers(std::vector<listed_worker> const& workers);
+    // Sets the requests that were running when a worker of any node crashed.
+    void set_suspects(std::set<poison::fingerprint> suspects);
 
     // Refuses new offers from now on. Calls that already run may finish.
     void start_draining();
@@ -198,7 +199,7 @@
     // True while load_timer_ is set to send a load report.
     bool load_report_scheduled_ = false;
     poison::crash_detector crash_detector_;
-    crash_notice_handler on_crash_notice_;
+    poison_notice_handler on_poison_notice_;
     // The worker that has stated the rate in use.
     core::upstream_id rate_stated_by_;
     // Moving average of the share of calls that the worker rejected or left
