Retries: Count the calls of repeated runs against the retry budget

Cause: a repeated run makes its calls again. The platform counts them as repeats, the product counted them as first requests, which even raised the budget.

Change: an offer says whether the call has reached a worker before. The node beside the worker counts a nested call of its worker by the share of repeats among the worker's runs. A budget may become negative; the debt decays with the window.

"the calls of repeats count as retries" uses a parameter that the old code lacks.

--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -67,7 +67,9 @@
     }
     caller_connection_->on_disconnect(
         [self = shared_from_this()] { self->on_caller_disconnected(); });
-    ingress_->retry_budget_.record_request(service_, arrived_at_);
+    ingress_->retry_budget_.record_request(
+        service_, arrived_at_,
+        nested_ ? ingress_->settings_.local_runs->repeat_share() : 0);
     ingress_->open_calls_.insert(this);
     start_deadline_timer();
     try_next_upstream();
@@ -216,10 +218,10 @@
     offer.repeatability = route_->kind;
     offer.rank = route_->rank;
     offer.nested = nested_;
+    offer.is_repeat = workers_reached_ > 0;
     offer.deadline_remaining = to_milliseconds(deadline_ - now);
     offer.target_latency_remaining = to_milliseconds(target_time_ - now);
     offer.origin = ingress_->settings_.service;
-    offer.may_have_run = may_have_run_;
     offer.has_alternative = requires_free_slot_;
     offer.rate = ingress_->upstream_scores_.stated_rate(target.id);
     offer.body_follows = sends_body_separately;
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -23,6 +23,7 @@
 #include "ingress/traffic_view.hpp"
 #include "metadata/header_codec.hpp"
 #include "peers/peer_links.hpp"
+#include "retries/local_runs.hpp"
 #include "retries/retry_budget.hpp"
 #include "routing/weighted_split.hpp"
 
@@ -40,6 +41,9 @@
     // Maximum memory of all buffered requests together.
     core::byte_count request_memory_limit{48UL * 1024 * 1024};
     retries::budget_settings retry_budget;
+    // The runs of the local worker, which makes the nested calls.
+    std::shared_ptr<retries::local_runs const> local_runs =
+        std::make_shared<retries::local_runs>();
     // Calls with a timeout up to this one count as nested calls, which a worker
     // makes while it runs another request, until the node has seen callers with
     // other timeouts.
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -68,13 +68,14 @@
         link_ = std::make_shared<transport::paced_link>(context_.get_executor(),
                                                         pacing);
     }
+    auto const local_runs = std::make_shared<retries::local_runs>();
     owner_ = std::make_shared<upstream::worker_owner>(
         context_,
         upstream::worker_owner_settings{
             settings_.worker, settings_.link_bandwidth,
             core::byte_count(settings_.memory_limit.value() /
                              response_memory_divisor),
-            core::incarnation(random_seed())},
+            core::incarnation(random_seed()), local_runs},
         header_codec_, on_poison_notice_, upstream_counters_, link_);
     auto peer_server = peers::peer_server::listen(
         context_, settings_.traffic,
@@ -100,8 +101,10 @@
                           std::move(reply));
         },
         link_settings);
+    auto ingress_settings = ingress_settings_of(settings_);
+    ingress_settings.local_runs = local_runs;
     ingress_ = std::make_shared<ingress::ingress>(
-        context_, ingress_settings_of(settings_), header_codec_, peer_links_,
+        context_, std::move(ingress_settings), header_codec_, peer_links_,
         ingress_counters_, link_);
     if (auto listening = ingress_->listen(); !listening)
     {
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -191,7 +191,7 @@
     write_field(to, it.deadline_remaining);
     write_field(to, it.target_latency_remaining);
     to.text(it.origin.value());
-    to.flag(it.may_have_run);
+    to.flag(it.is_repeat);
     to.flag(it.has_alternative);
     to.flag(it.body_follows);
     write_field(to, it.rate);
@@ -283,7 +283,7 @@
     it.deadline_remaining = read_duration(from);
     it.target_latency_remaining = read_duration(from);
     it.origin = core::service_name(from.text());
-    it.may_have_run = from.flag();
+    it.is_repeat = from.flag();
     it.has_alternative = from.flag();
     it.body_follows = from.flag();
     it.rate = read_rate(from);
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -40,8 +40,9 @@
     core::milliseconds target_latency_remaining{0};
     // The service beside the node that received the request from its caller.
     core::service_name origin;
-    // Whether an earlier attempt of the call may have been sent to a worker.
-    bool may_have_run = false;
+    // Whether an earlier attempt of the call may have reached a worker, even if
+    // the worker rejected it.
+    bool is_repeat = false;
     // Whether the caller's node believes that another worker has a free slot.
     // The receiver should then refuse the call at once rather than queue it.
     bool has_alternative = false;
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -43,7 +43,7 @@
     it.deadline_remaining = core::milliseconds(900);
     it.target_latency_remaining = core::milliseconds(400);
     it.origin = core::service_name("s");
-    it.may_have_run = true;
+    it.is_repeat = true;
     it.has_alternative = true;
     it.rate = core::rate_unlimited{};
     it.body_size = core::byte_count(3);
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -349,9 +349,20 @@
     void silence_connections()
     {
         std::fill(store_silent_.begin(), store_silent_.end(), true);
-        for (auto const& [end, peer] : link_peers_)
+        silence_links(100);
+    }
+
+    // From now on this part of the open connections between nodes carries
+    // nothing in either direction.
+    void silence_links(std::uint64_t percent)
+    {
+        for (auto const& [link, opener] : link_openers_)
         {
-            silent_links_.insert(end);
+            if (random_.below(100) < percent)
+            {
+                silent_links_.insert({opener, link});
+                silent_links_.insert({link_peers_.at({opener, link}), link});
+            }
         }
     }
 
@@ -685,6 +696,29 @@
     });
 }
 
+// Guards against the same where only a part of the connections between nodes is
+// silent, and where that comes again before the nodes have recovered (the
+// users' day "severed").
+TEST_CASE("a change is in force within two seconds of a silence of some links")
+{
+    rc::prop("seeds", [](std::uint16_t seed, std::uint8_t part) {
+        simulated_mesh nodes(3, 5, seed);
+        auto const silent_at = 6'000 + seed % 1'000;
+        auto const again_at = silent_at + 500 + seed % 3'000;
+        auto const part_of_links = part % 101;
+        nodes.run_until(silent_at);
+        nodes.silence_links(part_of_links);
+        nodes.run_until(again_at);
+        nodes.silence_links(part_of_links);
+        nodes.write();
+        nodes.run_until(again_at + 2'000);
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+        {
+            RC_ASSERT(nodes.is_current(i));
+        }
+    });
+}
+
 // Guards against store calls that grow with a burst of changes. Only the
 // readers call the store, and changes in quick succession are read with one
 // call.
--- a/src/retries/retry_budget.cpp
+++ b/src/retries/retry_budget.cpp
@@ -3,6 +3,7 @@
 #include "retries/retry_budget.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yuccafall::retries {
 
@@ -30,6 +31,11 @@
         auto const elapsed_windows =
             std::chrono::duration<double>(now - it.refilled_at) /
             std::chrono::duration<double>(settings_.window);
+        if (it.tokens < 0)
+        {
+            // Retries count only within the window in which they were made.
+            it.tokens *= std::exp(-elapsed_windows);
+        }
         it.tokens =
             std::min(capacity(), it.tokens + capacity() * elapsed_windows / 2);
     }
@@ -38,12 +44,12 @@
 }
 
 void retry_budget::record_request(core::service_name const& service,
-                                  core::instant now)
+                                  core::instant now, double repeat_share)
 {
     auto& it = refill(service, now);
     auto const tokens_per_request =
         settings_.ratio.value() / 100.0 * settings_.used_share.value() / 100.0;
-    it.tokens = std::min(capacity() + 4, it.tokens + tokens_per_request);
+    it.tokens += tokens_per_request * (1 - repeat_share) - repeat_share;
 }
 
 bool retry_budget::try_take(core::service_name const& service,
--- a/src/retries/retry_budget.hpp
+++ b/src/retries/retry_budget.hpp
@@ -35,7 +35,11 @@
 
     void set_nodes(core::node_count nodes) { node_count_ = nodes; }
 
-    void record_request(core::service_name const& service, core::instant now);
+    // Records a request for the service. A nested call that a repeat has made
+    // is no request but a retry; `repeat_share` is the probability of that,
+    // from 0 to 1.
+    void record_request(core::service_name const& service, core::instant now,
+                        double repeat_share = 0);
 
     // Takes one retry from the budget. Returns false if the budget is used up.
     bool try_take(core::service_name const& service, core::instant now);
@@ -43,8 +47,8 @@
 private:
     struct bucket
     {
-        // Number of retries that may be made now.
-        // Invariant: between 0 and capacity() + 4 as of the last refill.
+        // Number of retries that may be made now. It is negative after more
+        // calls of repeats than the budget allows.
         double tokens = 0;
         core::instant refilled_at{};
     };
--- a/src/retries/tests/retry_budget_test.cpp
+++ b/src/retries/tests/retry_budget_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "retries/local_runs.hpp"
 #include "retries/retry_budget.hpp"
 
 using namespace yuccafall;
@@ -65,6 +66,90 @@
     });
 }
 
+// Guards against a burst beyond the limit from retries that the nodes have
+// saved up while there was nothing to retry.
+TEST_CASE("a fleet stays within the limit after a calm time")
+{
+    rc::prop("fleets", [](std::uint8_t node_seed, std::uint8_t calm_seed) {
+        std::size_t const nodes = 1 + node_seed % 30;
+        long const calm_seconds = 1 + calm_seed % 60;
+        constexpr long requests_per_second = 4;
+        std::vector<retry_budget> fleet(nodes, retry_budget({}));
+        for (auto& it : fleet)
+        {
+            it.set_nodes(core::node_count(nodes));
+        }
+        long retries = 0;
+        long requests = 0;
+        auto const storm_at = calm_seconds * 1'000;
+        for (long ms = 0; ms < storm_at + 10'000;
+             ms += 1'000 / requests_per_second)
+        {
+            for (auto& it : fleet)
+            {
+                it.record_request(service, at(ms));
+                requests += ms >= storm_at ? 1 : 0;
+                while (ms >= storm_at && it.try_take(service, at(ms)))
+                {
+                    ++retries;
+                }
+            }
+        }
+        RC_ASSERT(static_cast<double>(retries) <=
+                  0.2 * static_cast<double>(requests) + 64);
+    });
+}
+
+// Guards against more retries than the limit where half of the runs of another
+// service are repeats and make their calls again (day
+// lost-answers-and-shedding: 416 retries, 387 were allowed).
+TEST_CASE("the calls of repeats count as retries")
+{
+    constexpr int requests = 1'600;
+    constexpr int repeated_calls = 200;
+    auto const count_retries = [](double repeat_share) {
+        retry_budget it({});
+        int retries = 0;
+        for (int i = 0; i < requests; ++i)
+        {
+            auto const now = at(10'000L * i / requests);
+            it.record_request(service, now, repeat_share);
+            while (it.try_take(service, now))
+            {
+                ++retries;
+            }
+        }
+        return retries;
+    };
+    auto const share = static_cast<double>(repeated_calls) / requests;
+    REQUIRE(count_retries(0) <= 0.2 * requests + 64);
+    REQUIRE(count_retries(share) + repeated_calls <= 0.2 * requests + 64);
+    // Calls of repeats beyond the budget leave nothing to retry.
+    REQUIRE(count_retries(0.5) <= 64);
+}
+
+TEST_CASE("a node retries again when the calls of repeats are a window ago")
+{
+    retry_budget it({});
+    for (int i = 0; i < 1'000; ++i)
+    {
+        it.record_request(service, at(i), 1);
+    }
+    REQUIRE_FALSE(it.try_take(service, at(5'000)));
+    REQUIRE(it.try_take(service, at(60'000)));
+}
+
+TEST_CASE("the share of repeats is that of the runs at the time")
+{
+    local_runs it;
+    REQUIRE(it.repeat_share() == 0);
+    it.record_start(false);
+    it.record_start(true);
+    REQUIRE(it.repeat_share() == 0.5);
+    it.record_end(false);
+    REQUIRE(it.repeat_share() == 1);
+}
+
 TEST_CASE("a service with few requests still gets a retry")
 {
     retry_budget it({});
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -122,7 +122,7 @@
           context, settings.worker_endpoint, header_codec,
           client_settings_of(settings))),
       queue_(queue_settings_of(settings)), load_timer_(context),
-      crash_detector_(settings.incarnation),
+      local_runs_(settings.local_runs), crash_detector_(settings.incarnation),
       on_poison_notice_(std::move(on_poison_notice)),
       counters_(std::move(counters)), link_(std::move(link))
 {}
@@ -491,6 +491,7 @@
 void worker_owner::start_run(call_key const& key, call_entry& call)
 {
     core::add(counters_->runs);
+    local_runs_->record_start(call.offer.is_repeat);
     auto const now = core::boot_clock::now();
     call.started_at = now;
     auto const remaining =
@@ -513,6 +514,7 @@
     auto call = std::move(found->second);
     calls_.erase(found);
     call_keys_.erase({call.session, call.offer.call});
+    local_runs_->record_end(call.offer.is_repeat);
 
     bool const completed = std::holds_alternative<worker_answered>(outcome);
     bool const rejected = std::holds_alternative<worker_rejected>(outcome);
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -25,6 +25,7 @@
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
 #include "poison/crash_detector.hpp"
+#include "retries/local_runs.hpp"
 #include "transport/paced_link.hpp"
 #include "upstream/counters.hpp"
 #include "upstream/worker_client.hpp"
@@ -52,6 +53,9 @@
     core::byte_count max_response_body{8UL * 1024 * 1024};
     // Identifies this process in the crash notices that it sends.
     core::incarnation incarnation;
+    // Counts the runs of this worker.
+    std::shared_ptr<retries::local_runs> local_runs =
+        std::make_shared<retries::local_runs>();
 };
 
 // Where a statement about the rate of the local worker comes from.
@@ -198,6 +202,7 @@
     boost::asio::steady_timer load_timer_;
     // True while load_timer_ is set to send a load report.
     bool load_report_scheduled_ = false;
+    std::shared_ptr<retries::local_runs> local_runs_;
     poison::crash_detector crash_detector_;
     poison_notice_handler on_poison_notice_;
     // The worker that has stated the rate in use.
