HTTP: Read each request of a connection under the limits in force

Cause: the reader of the next request was made when the last response had been written, with the limits of that moment.

Change: it is made when the first byte of the request arrives.

Evidence: "a limit that is raised holds for the next request of a connection" failed on the code before and passes; it also checks that a lowered limit holds.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -45,7 +45,6 @@
 
 void server_connection::start()
 {
-    reader_.emplace(server_->settings_.sizes);
     enter_phase(phase::idle);
     read();
 }
@@ -159,6 +158,8 @@
     }
     if (phase_ == phase::idle)
     {
+        // The limits may have changed since the last request.
+        reader_.emplace(server_->settings_.sizes);
         enter_phase(phase::head);
     }
     auto const status = reader_->parse(unparsed_bytes_);
@@ -307,7 +308,6 @@
         start_lingering_close();
         return;
     }
-    reader_.emplace(server_->settings_.sizes);
     head_handled_ = false;
     enter_phase(phase::idle);
     parse_received_bytes();
