HTTP: Accept targets in absolute form and empty lines before a request

What callers saw: GET http://host/path got 404, and an empty line before a request got 400 (seen in the review). RFC 9112 asks servers to take both (3.2.2, 2.2).

Change: a target in absolute form is split; its host replaces the Host header and the path goes on. User information or a missing host is a bad request.

--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
+#include "http/request_target.hpp"
+
 namespace yuccafall::http {
 
 namespace beast = boost::beast;
@@ -114,6 +116,27 @@
            head.find("\r\n\t") != std::string_view::npos;
 }
 
+bool has_invalid_authority(beast::string_view target)
+{
+    std::string_view const it(target.data(), target.size());
+    return is_absolute_form(it) &&
+           !is_valid_authority(split_absolute_form(it).authority);
+}
+
+// The host of a target in absolute form replaces that of the Host header (RFC
+// 9112 section 3.2.2).
+void convert_to_origin_form(request& it)
+{
+    if (!is_absolute_form(it.target))
+    {
+        return;
+    }
+    auto const parts = split_absolute_form(it.target);
+    set_header(it.headers, "Host", std::string(parts.authority));
+    bool const has_path = !parts.path.empty() && parts.path.front() == '/';
+    it.target = std::string(has_path ? "" : "/") + std::string(parts.path);
+}
+
 } // namespace
 
 struct request_reader::state
@@ -153,6 +176,11 @@
             error_kind::bad_request,
             "the request must contain exactly one Host header");
     }
+    if (parser.is_header_done() && has_invalid_authority(parser.get().target()))
+    {
+        return core::failure(error_kind::bad_request,
+                             "the request's target names no valid host");
+    }
     return parser.is_done() ? parse_progress::complete
                             : parse_progress::needs_more_data;
 }
@@ -177,6 +205,7 @@
     it.headers = copy_headers(message);
     it.keep_alive = message.keep_alive();
     it.body = std::move(message.body());
+    convert_to_origin_form(it);
     return it;
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,6 +25,19 @@
 
 constexpr char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// RFC 9112 section 2.2 asks a server to ignore empty lines before a request.
+// Returns true if more bytes are needed to tell an empty line from a request.
+bool skip_empty_lines(std::string& buffer)
+{
+    std::size_t skipped = 0;
+    while (buffer.compare(skipped, 2, "\r\n") == 0)
+    {
+        skipped += 2;
+    }
+    buffer.erase(0, skipped);
+    return buffer.empty() || buffer == "\r";
+}
+
 } // namespace
 
 server_connection::server_connection(std::shared_ptr<server> owning_server,
@@ -151,7 +164,10 @@
 // Continues to parse the current request with the bytes in unparsed_bytes_.
 void server_connection::parse_received_bytes()
 {
-    if (unparsed_bytes_.empty())
+    bool const needs_more_data = phase_ == phase::idle
+                                     ? skip_empty_lines(unparsed_bytes_)
+                                     : unparsed_bytes_.empty();
+    if (needs_more_data)
     {
         read();
         return;
--- a/src/http/tests/readers_test.cpp
+++ b/src/http/tests/readers_test.cpp
@@ -48,6 +48,44 @@
 
 // Guards against request smuggling, where two parsers disagree on the end of a
 // request.
+// RFC 9112 section 3.2.2.
+TEST_CASE("a target in absolute form is split into the host and the path")
+{
+    struct test_case
+    {
+        std::string target;
+        std::string host;
+        std::string path;
+    };
+    for (auto const& it : std::vector<test_case>{
+             {"http://other:81/a/b?c=/d", "other:81", "/a/b?c=/d"},
+             {"HTTP://other", "other", "/"},
+             {"http://other?q", "other", "/?q"},
+             {"/http://other/", "h", "/http://other/"}})
+    {
+        CAPTURE(it.target);
+        std::string buffer =
+            "GET " + it.target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        request_reader reader({});
+        REQUIRE(reader.parse(buffer).value() == parse_progress::complete);
+        auto const message = reader.release();
+        REQUIRE(message.target == it.path);
+        REQUIRE(count_headers(message.headers, "Host") == 1);
+        REQUIRE(*find_header(message.headers, "Host") == it.host);
+    }
+    for (auto const* target :
+         {"http://", "http:///a", "http://u@h/", "http://:80/"})
+    {
+        CAPTURE(target);
+        std::string buffer =
+            std::string("GET ") + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        request_reader reader({});
+        auto const status = reader.parse(buffer);
+        REQUIRE_FALSE(status);
+        REQUIRE(status.error().kind == core::error_kind::bad_request);
+    }
+}
+
 TEST_CASE("a request with ambiguous framing is rejected")
 {
     for (auto const& bytes :
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -114,3 +114,12 @@
     it.receiver().set_settings(settings);
     REQUIRE(it.exchange(serialize(upload(500))).status == 413);
 }
+
+// RFC 9112 section 2.2.
+TEST_CASE("empty lines before a request line are ignored")
+{
+    kept_connection it;
+    auto const message = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    REQUIRE(it.exchange(std::string("\r\n") + message).body == "/a");
+    REQUIRE(it.exchange(std::string("\r\n\r\n") + message).body == "/a");
+}
