Core, Soak: Count handlers that an exception ends, and fail on them

Cause: an exception out of a handler leaves half of a transition done.

Change: yuccafall_failed_handlers_total; the soak and every end-to-end test fail if a node has logged handler_failed.

--- a/bench/soak/soak.cpp
+++ b/bench/soak/soak.cpp
@@ -163,6 +163,7 @@
         check_recovery();
         stop_callers();
         check_calls();
+        check_logs();
         return std::move(result_);
     }
 
@@ -474,6 +475,20 @@
         }
     }
 
+    void check_logs()
+    {
+        for (std::size_t i = 0; i < deployment_.size(); ++i)
+        {
+            if (deployment_.log(i).find("event=handler_failed") !=
+                std::string::npos)
+            {
+                record_violation(
+                    fmt::format("an exception ended a handler of node {}", i));
+                result_.logs.push_back(deployment_.log(i));
+            }
+        }
+    }
+
     void check_calls()
     {
         std::map<std::string, int> runs;
--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -8,6 +8,7 @@
 
 #include "admin/process_usage.hpp"
 #include "admin/response_bodies.hpp"
+#include "core/event_loop.hpp"
 #include "core/log.hpp"
 
 namespace yuccafall::admin {
@@ -179,6 +180,9 @@
                 std::chrono::duration<double>(usage.cpu_time).count());
     add_gauge(out, "process_resident_memory_bytes",
               "Resident memory of the process.", usage.resident_memory.value());
+    add_counter(out, "yuccafall_failed_handlers_total",
+                "Handlers of events that an exception has ended.",
+                core::failed_handlers());
     auto const log = core::current_log_counts();
     add_counter(out, "yuccafall_log_lines_dropped_total",
                 "Log lines that the output had no room for.", log.dropped);
--- a/src/core/event_loop.hpp
+++ b/src/core/event_loop.hpp
@@ -2,6 +2,7 @@
 #ifndef YUCCAFALL_CORE_EVENT_LOOP_HPP
 #define YUCCAFALL_CORE_EVENT_LOOP_HPP
 
+#include <cstdint>
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,10 @@
 // the process with all its calls.
 void run_event_loop(boost::asio::io_context& context, std::string_view name);
 
+// Returns the number of handlers of all loops that an exception has ended. Each
+// one is a fault of the program. May be called on any thread.
+std::uint64_t failed_handlers();
+
 } // namespace yuccafall::core
 
 #endif
--- a/src/core/tests/event_loop_test.cpp
+++ b/src/core/tests/event_loop_test.cpp
@@ -15,6 +15,8 @@
     bool later_handler_ran = false;
     boost::asio::post(context, [] { throw std::runtime_error("unexpected"); });
     boost::asio::post(context, [&] { later_handler_ran = true; });
+    auto const failed_before = core::failed_handlers();
     core::run_event_loop(context, "test");
     REQUIRE(later_handler_ran);
+    REQUIRE(core::failed_handlers() == failed_before + 1);
 }
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -50,6 +50,15 @@
         }
     }
 
+    // Every test checks that no exception has ended a handler.
+    ~running_deployment()
+    {
+        for (std::size_t i = 0; i < size(); ++i)
+        {
+            CHECK(log(i).find("event=handler_failed") == std::string::npos);
+        }
+    }
+
     int count_runs(std::string const& id)
     {
         int total = 0;
