Replication: Keep the copy at the revision that a watch has reached

Found on looking for other ways in which a copy and its reader disagree: a watch that answers without changes, at a newer revision, moved the reader and not the copy. The next changes then followed a revision that the copy had not reached, and all later ones were refused.

Change: the copy is advanced with the reader.

Evidence: "a revision without changes brings the copy to it" failed before and passes. The test of bodies that are arriving waits for the server's count now, in place of a time.

--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -170,6 +170,11 @@
     void stop();
 
     std::size_t connections() const { return connections_.size(); }
+    // Returns the memory that the request bodies of all connections take.
+    core::byte_count buffered_bytes() const
+    {
+        return core::byte_count(buffered_bytes_);
+    }
     // Returns the number of requests whose response has not been written yet.
     std::size_t requests_open() const { return requests_open_; }
     // Returns the time at which the last request was received completely.
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -20,8 +20,6 @@
 
 // The time limit only ends a test that fails.
 constexpr milliseconds test_timeout{10'000};
-// Time for the server to read what has been sent over the loopback interface.
-constexpr milliseconds settling_time{100};
 
 // A server that responds to each request with its target, and one connection to
 // it that is kept open.
@@ -79,18 +77,20 @@
         return out;
     }
 
-    // Sends a part of a request and lets the server read it.
-    void send(tcp::socket& to, std::string const& bytes)
+    // Sends a part of a request and runs the server until it has read
+    // `body_size` bytes of the body.
+    void send(tcp::socket& to, std::string const& bytes, std::size_t body_size)
     {
         boost::asio::write(to, boost::asio::buffer(bytes));
-        context_.restart();
-        context_.run_for(settling_time);
+        run_until(
+            [&] { return server_->buffered_bytes().value() == body_size; });
     }
 
     // Sends the rest of a request and returns the response.
     response finish(tcp::socket& on, std::string const& bytes)
     {
-        send(on, bytes);
+        boost::asio::write(on, boost::asio::buffer(bytes));
+        run_until([&] { return on.available() > 0; });
         std::string received(4'096, '\0');
         received.resize(on.read_some(boost::asio::buffer(received)));
         response_reader reader({}, false);
@@ -115,6 +115,16 @@
     }
 
 private:
+    template <class Condition>
+    void run_until(Condition is_met)
+    {
+        context_.restart();
+        while (!is_met())
+        {
+            REQUIRE(context_.run_one_for(test_timeout) == 1);
+        }
+    }
+
     void run()
     {
         context_.restart();
@@ -167,7 +177,7 @@
     // A caller that sends a part of its body and waits.
     auto const slow = it.open_another();
     auto const whole = serialize(upload(80'000));
-    it.send(*slow, whole.substr(0, whole.size() - 10'000));
+    it.send(*slow, whole.substr(0, whole.size() - 10'000), 70'000);
     REQUIRE(it.exchange(serialize(upload(20'000))).status == 200);
     REQUIRE(it.exchange(serialize(upload(60'000))).status == 503);
     // The slow caller is not the one that is rejected.
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -84,12 +84,17 @@
     record_response(out);
     auto const base = watch_after_;
     watch_after_ = std::max(watch_after_, it.as_of);
+    if (it.as_of > base)
+    {
+        // The copy must keep up with the revision also without a change, since
+        // the next changes follow this revision.
+        out.emplace_back(apply_changes{{base, it.as_of, it.items, {}}});
+    }
     if (it.items.empty())
     {
         start_call(out);
         return;
     }
-    out.emplace_back(apply_changes{{base, it.as_of, it.items, {}}});
     timer_due_ = now + settings_.batch_delay;
 }
 
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -257,6 +257,24 @@
 
 } // namespace
 
+// Guards against a copy that refuses all later changes, because a watch without
+// changes has moved the reader past the copy's revision.
+TEST_CASE("a revision without changes brings the copy to it")
+{
+    auto it = make_replicator();
+    it.handle(started{}, at(0));
+    it.handle(role_assigned{true}, at(200));
+    it.handle(timer_expired{}, at(200));
+    it.handle(page_read{{written_item("a", 9)}, core::revision(9), false},
+              at(204));
+    it.handle(watch_answered{{}, core::revision(11)}, at(1'000));
+    REQUIRE(it.state().as_of() == core::revision(11));
+    auto const applied = it.handle(
+        watch_answered{{written_item("a", 12)}, core::revision(12)}, at(1'500));
+    REQUIRE(actions_of<deliver_items>(applied).size() == 1);
+    REQUIRE(it.state().as_of() == core::revision(12));
+}
+
 // Guards against a watch that was cut and counts as an outage of the store. The
 // workers' entries are trusted less after an outage.
 TEST_CASE("a store that closes a call was available until then")
