Replication: Allow for reads in pages when a copy lacks tombstones

Change: spans of revisions without tombstones that follow each other are one span; it ends only with a set that lists all deletions.

--- a/src/replication/published_state.hpp
+++ b/src/replication/published_state.hpp
@@ -141,10 +141,10 @@
     std::size_t tombstones_ = 0;
     // Tombstones up to and including this revision may be missing.
     core::revision purged_up_to_;
-    // The revisions of this copy before and after it last merged a set that may
-    // lack deletions. Items that were both written and deleted between them may
-    // have no tombstone here. Invariant: purged_up_to_ covers all earlier spans
-    // of this kind.
+    // The revisions of this copy before and after it last merged one or more
+    // sets in a row that may lack deletions. Items that a copy as of a revision
+    // between them holds may have no tombstone here. Invariant: purged_up_to_
+    // covers all earlier spans of this kind.
     struct revision_span
     {
         core::revision before;
