--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -353,8 +353,8 @@
     start_ready_calls(now, out);
 }
 
-void slot_queue::find_lost_calls(load_reported const& report,
-                                 core::instant now, actions& out)
+void slot_queue::find_lost_calls(load_reported const& report, core::instant now,
+                                 actions& out)
 {
     std::vector<
         std::pair<double, std::map<core::call_id, running_call>::iterator>>
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -710,9 +710,9 @@
     REQUIRE(started(f.offer(6, 1'000)).empty());
 }
 
-// Guards against an answer that is thrown away: the report in the response of an
-// overdue call showed that others are lost, and the call was taken for one of
-// them (seen in the review, with four lost calls beside a run of 900 ms).
+// Guards against an answer that is thrown away: the report in the response of
+// an overdue call showed that others are lost, and the call was taken for one
+// of them (seen in the review, with four lost calls beside a run of 900 ms).
 TEST_CASE("a call whose response carries the report is not lost")
 {
     fixture f(3);
--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -59,6 +59,18 @@
 
 link_id const peer_link(1);
 
+// Returns a reader that has read the whole state as of revision 9 at 204 ms.
+replicator make_reader()
+{
+    auto it = make_replicator();
+    it.handle(started{}, at(0));
+    it.handle(role_assigned{true}, at(200));
+    it.handle(timer_expired{}, at(200));
+    it.handle(page_read{{written_item("a", 9)}, core::revision(9), false},
+              at(204));
+    return it;
+}
+
 } // namespace
 
 TEST_CASE("each message is equal after encoding and decoding")
@@ -232,17 +244,12 @@
 
 namespace {
 
-// Returns the report of a reader whose watch, which began at 204 ms, fails at
-// 900 ms and whose next call succeeds at 1,000 ms. Other nodes confirm its copy
-// in between if `confirmed` is set.
+// Returns the report of a reader whose watch fails at 900 ms and whose next
+// call succeeds at 1,000 ms. Another node confirms its copy in between if
+// `confirmed` is set.
 report_store_regained regain_after(call_failed const& failure, bool confirmed)
 {
-    auto it = make_replicator();
-    it.handle(started{}, at(0));
-    it.handle(role_assigned{true}, at(200));
-    it.handle(timer_expired{}, at(200));
-    it.handle(page_read{{written_item("a", 9)}, core::revision(9), false},
-              at(204));
+    auto it = make_reader();
     it.handle(failure, at(900));
     if (confirmed)
     {
@@ -261,12 +268,7 @@
 // changes has moved the reader past the copy's revision.
 TEST_CASE("a revision without changes brings the copy to it")
 {
-    auto it = make_replicator();
-    it.handle(started{}, at(0));
-    it.handle(role_assigned{true}, at(200));
-    it.handle(timer_expired{}, at(200));
-    it.handle(page_read{{written_item("a", 9)}, core::revision(9), false},
-              at(204));
+    auto it = make_reader();
     it.handle(watch_answered{{}, core::revision(11)}, at(1'000));
     REQUIRE(it.state().as_of() == core::revision(11));
     auto const applied = it.handle(
