--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -20,17 +20,10 @@
 // responses are waiting for it, apart from about one.
 constexpr core::milliseconds max_link_wait_if_late{100};
 
-// Weight of the previous sum in the sums of slot times. About the last fifty
-// runs determine the share of nested calls.
-constexpr double slot_time_decay = 0.98;
 // Upper limit on the share of the slots that nested calls are taken to use, so
 // that the expected wait of other calls stays finite.
 constexpr double max_nested_slot_share = 0.75;
 
-// A call counts as lost only if it has run for this multiple of its usual time,
-// and for this multiple of queue_settings::report_delay at least.
-constexpr double min_overdue_ratio = 3;
-
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::chrono::duration_cast<core::milliseconds>(it);
@@ -87,14 +80,7 @@
                           core::instant now) const
 {
     std::size_t const slots = std::max(settings_.slots.value(), 1U);
-    core::duration pending_time{};
-    for (auto const& [call, it] : running_)
-    {
-        pending_time +=
-            it.lost ? core::duration::zero()
-                    : std::max(it.expected_service_time - (now - it.started_at),
-                               it.expected_service_time / 8);
-    }
+    auto pending_time = running_.remaining_time(now);
     std::size_t calls_ahead = 0;
     for (auto const& [call, it] : waiting_)
     {
@@ -116,27 +102,14 @@
     if (!position || position->yields_to_nested)
     {
         // Nested calls that arrive meanwhile go ahead.
-        auto const share = std::min(nested_slot_share(), max_nested_slot_share);
+        auto const share =
+            std::min(running_.nested_slot_share(), max_nested_slot_share);
         wait = core::duration(static_cast<core::duration::rep>(
             static_cast<double>(wait.count()) / (1 - share)));
     }
     return std::max<core::duration>(wait, rate_wait);
 }
 
-double slot_queue::nested_slot_share() const
-{
-    return slot_time_ms_ > 0 ? nested_slot_time_ms_ / slot_time_ms_ : 0;
-}
-
-void slot_queue::record_slot_time(running_call const& it, core::instant now)
-{
-    auto const ms =
-        std::chrono::duration<double, std::milli>(now - it.started_at).count();
-    slot_time_ms_ = slot_time_ms_ * slot_time_decay + ms;
-    nested_slot_time_ms_ =
-        nested_slot_time_ms_ * slot_time_decay + (it.nested ? ms : 0);
-}
-
 std::size_t slot_queue::max_late_calls() const
 {
     return settings_.slots.value() * settings_.max_late_share.value() / 100;
@@ -245,7 +218,7 @@
 core::duration slot_queue::expected_response_time() const
 {
     core::duration out{};
-    for (auto const& [call, it] : running_)
+    for (auto const& [call, it] : running_.all())
     {
         out += response_time(it.route);
     }
@@ -336,68 +309,19 @@
 
 void slot_queue::on(run_ended const& it, core::instant now, actions& out)
 {
-    auto const found = running_.find(it.call);
-    if (found == running_.end())
+    auto const ended = running_.remove(it.call, now);
+    if (!ended)
     {
         return;
     }
     if (it.result == run_result::completed)
     {
-        service_times_.observe(found->second.route,
-                               now - found->second.started_at);
-        response_sizes_.observe(found->second.route, it.response_size);
+        service_times_.observe(ended->route, now - ended->started_at);
+        response_sizes_.observe(ended->route, it.response_size);
     }
-    record_slot_time(found->second, now);
-    lost_calls_ -= found->second.lost ? 1 : 0;
-    running_.erase(found);
     start_ready_calls(now, out);
 }
 
-void slot_queue::find_lost_calls(load_reported const& report, core::instant now,
-                                 actions& out)
-{
-    std::vector<
-        std::pair<double, std::map<core::call_id, running_call>::iterator>>
-        overdue;
-    std::size_t settled = 0;
-    for (auto it = running_.begin(); it != running_.end(); ++it)
-    {
-        auto const elapsed = now - it->second.started_at;
-        if (it->second.lost || elapsed < settings_.report_delay)
-        {
-            continue;
-        }
-        ++settled;
-        auto const ratio =
-            static_cast<double>(elapsed.count()) /
-            static_cast<double>(
-                std::max<core::duration>(it->second.expected_service_time,
-                                         settings_.report_delay)
-                    .count());
-        if (ratio >= min_overdue_ratio && it->first != report.answered_call)
-        {
-            overdue.emplace_back(ratio, it);
-        }
-    }
-    // The call whose response carries the report may or may not be counted.
-    std::size_t const reported =
-        static_cast<std::size_t>(report.load.running.value()) +
-        report.load.waiting.value() + 1;
-    std::sort(overdue.begin(), overdue.end(),
-              [](auto const& a, auto const& b) { return a.first > b.first; });
-    for (auto const& [ratio, it] : overdue)
-    {
-        if (settled <= reported)
-        {
-            return;
-        }
-        --settled;
-        it->second.lost = true;
-        ++lost_calls_;
-        out.emplace_back(call_lost{it->first});
-    }
-}
-
 void slot_queue::on(load_reported const& it, core::instant now, actions& out)
 {
     relative_service_time_ = it.load.relative_service_time;
@@ -407,7 +331,10 @@
     auto const reported_calls =
         static_cast<std::size_t>(it.load.running.value()) +
         it.load.waiting.value();
-    find_lost_calls(it, now, out);
+    for (auto const& call : running_.find_lost(it, now))
+    {
+        out.emplace_back(call_lost{call});
+    }
     auto const own_calls = running() + 1;
     external_calls_ =
         reported_calls > own_calls ? reported_calls - own_calls : 0;
@@ -517,10 +444,10 @@
         {
             return;
         }
-        running_.emplace(next->first,
-                         running_call{next->second.job.route, now,
-                                      next->second.expected_service_time,
-                                      next->second.job.nested, false});
+        running_.add(next->first,
+                     running_call{next->second.job.route, now,
+                                  next->second.expected_service_time,
+                                  next->second.job.nested, false});
         rate_limiter_.record_start(now);
         out.emplace_back(start_call{next->first});
         waiting_.erase(next);
