--- a/src/admin/node_state.hpp
+++ b/src/admin/node_state.hpp
@@ -8,6 +8,7 @@
 #include "core/units.hpp"
 #include "ingress/counters.hpp"
 #include "ingress/traffic_view.hpp"
+#include "upstream/counters.hpp"
 
 namespace yuccafall::admin {
 
--- a/src/ingress/traffic_view.hpp
+++ b/src/ingress/traffic_view.hpp
@@ -13,7 +13,7 @@
 #include "balancing/upstream_scores.hpp"
 #include "poison/suspect_list.hpp"
 #include "routing/route_index.hpp"
-#include "upstream/worker_owner.hpp"
+#include "upstream/local_workers.hpp"
 
 namespace yuccafall::ingress {
 
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -23,13 +23,6 @@
 // Offers are refused for this long after the worker has refused a connection.
 constexpr core::milliseconds unreachable_backoff{250};
 
-// Load reports are sent to sessions at least min_load_interval apart. A session
-// receives them until load_subscription_time after its most recent offer.
-constexpr core::milliseconds min_load_interval{50};
-constexpr core::milliseconds load_subscription_time{3'000};
-// A worker with more free slots than this is not nearly full.
-constexpr std::uint32_t nearly_full_margin = 2;
-
 // A run that ends without a response after this multiple of its usual time
 // counts against the worker, whoever ended it.
 constexpr int overdue_ratio = 3;
@@ -121,7 +114,9 @@
       worker_client_(std::make_shared<worker_client>(
           context, settings.worker_endpoint, header_codec,
           client_settings_of(settings))),
-      queue_(queue_settings_of(settings)), load_timer_(context),
+      queue_(queue_settings_of(settings)),
+      load_publisher_(
+          std::make_shared<load_publisher>(context, [this] { return load(); })),
       local_runs_(settings.local_runs), crash_detector_(settings.incarnation),
       on_poison_notice_(std::move(on_poison_notice)),
       counters_(std::move(counters)), link_(std::move(link))
@@ -146,19 +141,19 @@
 {
     core::add(counters_->offers);
     auto const now = core::boot_clock::now();
-    load_subscribers_[from] = {reply, offer.upstream, now};
+    load_publisher_->subscribe(from, reply, offer.upstream, now);
     call_key const key{core::incarnation(0), ++last_call_key_};
     call_entry call;
     call.session = from;
     call.offer = std::move(offer);
     call.reply = std::move(reply);
     call.deadline = now + call.offer.deadline_remaining;
-    if (leaves(call.offer.upstream))
+    if (workers_.leaves(call.offer.upstream, now))
     {
         refuse(call, error_kind::leaving, {}, false);
         return;
     }
-    if (replaced_workers_.count(call.offer.upstream) != 0)
+    if (workers_.is_replaced(call.offer.upstream))
     {
         refuse(call, error_kind::wrong_upstream, {}, false);
         return;
@@ -232,7 +227,7 @@
 
 void worker_owner::on_session_closed(session_id closed_session)
 {
-    load_subscribers_.erase(closed_session);
+    load_publisher_->unsubscribe(closed_session);
     std::vector<call_key> keys;
     for (auto const& [session_call, key] : call_keys_)
     {
@@ -249,12 +244,9 @@
 
 void worker_owner::set_workers(std::vector<listed_worker> const& workers)
 {
-    had_workers_ = had_workers_ || !workers.empty();
-    workers_.clear();
-    replaced_workers_.clear();
+    workers_.set(workers);
     for (auto const& it : workers)
     {
-        workers_.emplace(it.id, it);
         if (!it.draining && it.slots != queue_.slots())
         {
             handle_event(admission::slots_changed{it.slots});
@@ -279,15 +271,9 @@
     {
         return;
     }
-    // Offers are accepted while no worker has been listed yet, since the list
-    // may not have arrived.
-    bool const all_leave =
-        had_workers_ &&
-        std::all_of(workers_.begin(), workers_.end(),
-                    [this](auto const& it) { return leaves(it.first); });
     // Calls that wait for a draining worker are refused, since another worker
     // can run them sooner.
-    if (all_leave)
+    if (workers_.all_leave(core::boot_clock::now()))
     {
         handle_event(admission::drain_started{});
         return;
@@ -295,37 +281,20 @@
     handle_event(admission::drain_ended{});
 }
 
-core::worker_start
-worker_owner::start_of(core::upstream_id const& upstream) const
-{
-    auto const listed = workers_.find(upstream);
-    return listed == workers_.end() ? core::worker_start()
-                                    : listed->second.started;
-}
-
-bool worker_owner::leaves(core::upstream_id const& upstream) const
-{
-    auto const listed = workers_.find(upstream);
-    return (listed != workers_.end() && listed->second.draining) ||
-           has_stated_leaving(upstream);
-}
-
 bool worker_owner::has_stated_leaving(core::upstream_id const& upstream) const
 {
-    return leaving_workers_.contains(upstream, start_of(upstream),
-                                     core::boot_clock::now());
+    return workers_.has_stated_leaving(upstream, core::boot_clock::now());
 }
 
 void worker_owner::record_leaving(core::upstream_id const& upstream)
 {
-    auto const started = start_of(upstream);
-    if (!leaving_workers_.record(upstream, started, core::boot_clock::now()))
+    if (!workers_.record_leaving(upstream, core::boot_clock::now()))
     {
         return;
     }
-    core::log_event(
-        core::log_level::info, "worker_leaves",
-        {{"upstream", upstream.value()}, {"started", started.value()}});
+    core::log_event(core::log_level::info, "worker_leaves",
+                    {{"upstream", upstream.value()},
+                     {"started", workers_.start_of(upstream).value()}});
     update_queue_draining();
 }
 
@@ -340,7 +309,7 @@
 void worker_owner::close()
 {
     queue_timer_.cancel();
-    load_timer_.cancel();
+    load_publisher_->close();
     worker_client_->close();
 }
 
@@ -352,55 +321,7 @@
         apply(a);
     }
     set_queue_timer();
-    send_load_reports();
-}
-
-// Sends nothing if the worker was not nearly full at the last report and is not
-// now, since its exact load then affects no choice of an upstream. A worker
-// that limits its rate may have free slots that no call can use.
-void worker_owner::send_load_reports()
-{
-    auto const now = core::boot_clock::now();
-    auto const current = load();
-    auto const open_calls = [](balancing::load_report const& l) {
-        return l.running.value() + l.waiting.value();
-    };
-    auto const nearly_full = [&](balancing::load_report const& l) {
-        return open_calls(l) + nearly_full_margin >= l.slots.value() ||
-               std::holds_alternative<core::rate_limited>(l.rate);
-    };
-    if (load_report_scheduled_ ||
-        open_calls(current) == open_calls(last_sent_load_) ||
-        (!nearly_full(current) && !nearly_full(last_sent_load_)))
-    {
-        return;
-    }
-    if (now - last_sent_at_ < min_load_interval)
-    {
-        load_report_scheduled_ = true;
-        load_timer_.expires_after(min_load_interval - (now - last_sent_at_));
-        load_timer_.async_wait(
-            [weak = weak_from_this()](boost::system::error_code const& ec) {
-                if (auto const self = weak.lock(); self && !ec)
-                {
-                    self->load_report_scheduled_ = false;
-                    self->send_load_reports();
-                }
-            });
-        return;
-    }
-    last_sent_load_ = current;
-    last_sent_at_ = now;
-    for (auto to = load_subscribers_.begin(); to != load_subscribers_.end();)
-    {
-        if (now - to->second.last_offer > load_subscription_time)
-        {
-            to = load_subscribers_.erase(to);
-            continue;
-        }
-        to->second.send(peers::load_update{to->second.upstream, current});
-        ++to;
-    }
+    load_publisher_->publish();
 }
 
 void worker_owner::apply(admission::action const& it)
@@ -616,7 +537,7 @@
     core::add(counters_->rejected_by_worker);
     if (outcome.metadata.wrong_worker)
     {
-        replaced_workers_.insert(call.offer.upstream);
+        workers_.record_replaced(call.offer.upstream);
     }
     refuse(call,
            outcome.metadata.wrong_worker ? error_kind::wrong_upstream
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -20,7 +20,6 @@
 
 #include "admission/slot_queue.hpp"
 #include "core/ids.hpp"
-#include "membership/leaving_workers.hpp"
 #include "metadata/header_codec.hpp"
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
@@ -28,6 +27,8 @@
 #include "retries/local_runs.hpp"
 #include "transport/paced_link.hpp"
 #include "upstream/counters.hpp"
+#include "upstream/load_publisher.hpp"
+#include "upstream/local_workers.hpp"
 #include "upstream/worker_client.hpp"
 
 namespace yuccafall::upstream {
@@ -35,16 +36,6 @@
 using peers::reply_function;
 using session_id = peers::session_id;
 
-// A worker that the platform lists at the local worker's address. There may be
-// several while a new worker replaces an old one.
-struct listed_worker
-{
-    core::upstream_id id;
-    core::worker_start started;
-    core::slot_count slots{1};
-    bool draining = false;
-};
-
 struct worker_owner_settings
 {
     core::endpoint worker_endpoint;
@@ -153,14 +144,7 @@
     // Returns whether the call has run for so long that its worker should have
     // responded.
     bool is_overdue(call_entry const& call) const;
-    // Returns whether the worker drains by its entry or leaves by its
-    // responses.
-    bool leaves(core::upstream_id const& upstream) const;
-    // Returns whether the worker has stated in a response that it leaves.
-    // Callers' nodes are told only that: they see the entries themselves, and
-    // an entry may change back.
     bool has_stated_leaving(core::upstream_id const& upstream) const;
-    core::worker_start start_of(core::upstream_id const& upstream) const;
     void record_leaving(core::upstream_id const& upstream);
     // Tells the queue whether any worker may get calls.
     void update_queue_draining();
@@ -169,7 +153,6 @@
                      core::stated_rate const& rate, rate_source source);
     core::duration link_backlog() const;
     void check_for_crash(poison::fingerprint const& request);
-    void send_load_reports();
 
     boost::asio::steady_timer queue_timer_;
     // When the timer expires, or zero if it is not set.
@@ -177,31 +160,12 @@
     metadata::header_codec header_codec_;
     std::shared_ptr<worker_client> worker_client_;
     admission::slot_queue queue_;
-    // The workers that the platform lists at the local worker's address.
-    std::map<core::upstream_id, listed_worker> workers_;
-    membership::leaving_workers leaving_workers_;
-    // Workers whose address another worker has taken, as a response has shown.
-    // The set is cleared when the list of workers changes.
-    std::set<core::upstream_id> replaced_workers_;
+    local_workers workers_;
     std::map<call_key, call_entry> calls_;
     // Maps the call id that a session uses to the key of the call.
     std::map<std::pair<session_id, core::call_id>, call_key> call_keys_;
     std::uint64_t last_call_key_ = 0;
-    // A session that has offered calls recently and therefore receives load
-    // reports.
-    struct load_subscriber
-    {
-        reply_function send;
-        core::upstream_id upstream;
-        core::instant last_offer;
-    };
-    std::map<session_id, load_subscriber> load_subscribers_;
-    // The load report that was most recently sent to the subscribers.
-    balancing::load_report last_sent_load_;
-    core::instant last_sent_at_{};
-    boost::asio::steady_timer load_timer_;
-    // True while load_timer_ is set to send a load report.
-    bool load_report_scheduled_ = false;
+    std::shared_ptr<load_publisher> load_publisher_;
     std::shared_ptr<retries::local_runs> local_runs_;
     poison::crash_detector crash_detector_;
     poison_notice_handler on_poison_notice_;
@@ -214,8 +178,6 @@
     // connection.
     core::instant unreachable_until_{};
     bool draining_ = false;
-    // True if the list of workers has not been empty at some time.
-    bool had_workers_ = false;
     std::shared_ptr<counters> counters_;
     // Paces the long responses of this VM. Null if its bandwidth is not known.
     std::shared_ptr<transport::paced_link> link_;
