--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -326,10 +326,13 @@
         std::make_shared<routing::configuration const>(std::move(*decoded)));
     applied_at_ = core::boot_clock::now();
     view_outdated_ = true;
-    auto services = routes_->source_configuration().services;
     // The worker beside this node may still run calls of an earlier
     // configuration.
-    services.insert(settings_.service);
+    std::set<core::service_name> services{settings_.service};
+    for (auto const& [name, service] : routes_->source_configuration().services)
+    {
+        services.insert(name);
+    }
     update_directory(membership::services_named{std::move(services)});
     core::log_event(
         core::log_level::info, "configuration_applied",
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -3,12 +3,14 @@
 #ifndef YUCCAFALL_ROUTING_CONFIGURATION_HPP
 #define YUCCAFALL_ROUTING_CONFIGURATION_HPP
 
-#include <set>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "core/warm_up_limits.hpp"
 
 namespace yuccafall::routing {
 
@@ -78,13 +80,22 @@
     core::milliseconds idle_timeout{15'000};
 };
 
+// What the operator states of the workers of a service.
+struct service
+{
+    // The path of the worker's health check, or empty if none is stated.
+    std::string health_path;
+    // Empty if cold workers of the service take as many requests as others.
+    std::optional<core::warm_up_limits> warm_up;
+};
+
 // Invariant: each target names a service of the same configuration, and no two
 // routes have the same host and prefix.
 struct configuration
 {
     core::configuration_version version;
     std::vector<route> routes;
-    std::set<core::service_name> services;
+    std::map<core::service_name, service> services;
     caller_limits limits;
     std::vector<unknown_kind> unknown_kinds;
 };
