--- a/src/upstream/local_workers.hpp
+++ b/src/upstream/local_workers.hpp
@@ -21,6 +21,9 @@
     core::worker_start started;
     core::slot_count slots{1};
     bool draining = false;
+    // The operator has asked that nothing more be sent to the workers of this
+    // worker's data centre.
+    bool evacuated = false;
 };
 
 class local_workers
