--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -148,6 +148,24 @@
     };
 }
 
+// The parser reads a limit with or without a fraction and rounds it down, so
+// that no more than the limit is used. The platform may state its limits with
+// fractions.
+template <class Value>
+auto limit_parser(Value& into, std::uint32_t max)
+{
+    return [&into, max](std::string const& text) -> std::optional<std::string> {
+        char* end = nullptr;
+        double const it = std::strtod(text.c_str(), &end);
+        if (text.empty() || *end != '\0' || !(it >= 0 && it <= max))
+        {
+            return fmt::format("a number from 0 to {}", max);
+        }
+        into = Value(static_cast<typename Value::rep>(it));
+        return std::nullopt;
+    };
+}
+
 // The parser reads a ratio from 0 to 1 and converts it to a percentage.
 auto ratio_parser(core::percentage& into)
 {
@@ -259,7 +277,7 @@
     mapping_reader reader(it, "bounds.", faults);
     reader.scalar("retry_share", false, ratio_parser(into.retries.ratio));
     reader.scalar("retry_slack", false,
-                  number_parser(into.retries.slack, 0, 1'000'000));
+                  limit_parser(into.retries.slack, 1'000'000));
     reader.scalar("retry_window_s", false, seconds_parser(into.retries.window));
     reader.scalar("longest_drain_s", false,
                   seconds_parser(into.max_drain_time));
