--- a/src/admission/queue_messages.hpp
+++ b/src/admission/queue_messages.hpp
@@ -111,7 +111,10 @@
 };
 // The worker rejected a call although the queue counted a free slot.
 struct call_rejected
-{};
+{
+    // The load that the rejection reports, without the rejected call.
+    std::optional<worker_load> load = std::nullopt;
+};
 struct slots_changed
 {
     core::slot_count slots;
--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -347,8 +347,15 @@
     start_ready_calls(now, out);
 }
 
-void slot_queue::on(call_rejected const&, core::instant now, actions&)
+void slot_queue::on(call_rejected const& it, core::instant now, actions&)
 {
+    // A worker that rejects calls although it reports free slots rejects them
+    // for another reason, and a pause would only leave its slots unused.
+    if (it.load && it.load->running.value() + it.load->waiting.value() <
+                       it.load->slots.value())
+    {
+        return;
+    }
     start_paused_until_ = now + settings_.rejection_pause;
 }
 
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -40,8 +40,8 @@
     // call that would be late is refused if this many calls of any kind are
     // waiting.
     core::percentage max_late_share{50};
-    // After the worker has rejected a call, no calls are sent to it for this
-    // long.
+    // After the worker has rejected a call because it is full, no calls are
+    // sent to it for this long.
     core::milliseconds rejection_pause{15};
     // How long the number of external calls in a worker's load report is taken
     // as valid.
@@ -104,7 +104,7 @@
     void on(run_ended const& it, core::instant now, actions& out);
     void on(load_reported const& it, core::instant now, actions& out);
     void on(rate_stated const& it, core::instant now, actions& out);
-    void on(call_rejected const&, core::instant now, actions& out);
+    void on(call_rejected const& it, core::instant now, actions& out);
     void on(slots_changed const& it, core::instant now, actions& out);
     void on(timer_expired const&, core::instant now, actions& out);
     void on(drain_started const&, core::instant now, actions& out);
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -465,7 +465,8 @@
     }
     if (rejected)
     {
-        handle_event(admission::call_rejected{});
+        handle_event(
+            admission::call_rejected{load == nullptr ? std::nullopt : *load});
     }
     bool const left_without_response =
         std::holds_alternative<worker_failed>(outcome) &&
