--- a/src/ingress/caller_timeouts.hpp
+++ b/src/ingress/caller_timeouts.hpp
@@ -4,8 +4,8 @@
 //
 // All callers of a route start with the same timeout. A caller that sends its
 // request again states the time that remains of that timeout. The longest
-// timeout seen on a route is therefore taken as that of a request that is sent
-// for the first time.
+// recent timeout on a route is therefore taken as that of a request that is
+// sent for the first time.
 //
 // A nested call, which a worker makes while it runs another request, has to end
 // well before that request. Its timeout is therefore much shorter than those of
@@ -13,6 +13,7 @@
 #ifndef YUCCAFALL_INGRESS_CALLER_TIMEOUTS_HPP
 #define YUCCAFALL_INGRESS_CALLER_TIMEOUTS_HPP
 
+#include <cstdint>
 #include <map>
 
 #include "core/ids.hpp"
@@ -34,11 +35,20 @@
     bool is_nested(core::route_name const& route,
                    core::milliseconds max_nested_timeout) const;
 
-    // Removes all timeouts. Must be called when the routes change, since they
-    // may have callers with other timeouts from then on.
-    void clear();
-
 private:
+    struct route_timeouts
+    {
+        core::milliseconds longest() const;
+
+        // Longest timeouts of the requests since the period began and of the
+        // period before.
+        core::milliseconds longest_in_period{0};
+        core::milliseconds longest_before{0};
+        std::uint32_t requests_in_period = 0;
+        // Number of requests, halved with all others from time to time.
+        std::uint32_t recent_requests = 0;
+    };
+
     // A timeout that is shorter than the longest one by less than this is not
     // taken as that of a request that is sent again: the difference may be
     // network delay between the caller and the node.
@@ -48,8 +58,29 @@
     // of any caller.
     static constexpr core::percentage max_nested_share{40};
 
-    std::map<core::route_name, core::milliseconds> max_timeouts_;
-    // Invariant: the maximum of max_timeouts_.
+    // The longest timeout of a route is that of the last one to two periods of
+    // this many requests, so that it follows a change of the callers.
+    static constexpr std::uint32_t requests_per_period = 64;
+
+    // Fewest recent requests of a route whose timeout is compared with those of
+    // others, and their least share of all requests as a percentage. The single
+    // requests by which operators check routes may state any timeout.
+    static constexpr std::uint32_t min_requests = 3;
+    static constexpr core::percentage min_request_share{2};
+
+    // The counts of requests are halved when their sum exceeds this.
+    static constexpr std::uint32_t max_recent_requests = 1'024;
+
+    void record(core::route_name const& route, core::milliseconds timeout);
+    void halve_counts();
+    // Returns the longest timeout of the routes that have enough requests, or
+    // of all routes if none has.
+    core::milliseconds find_longest_timeout() const;
+
+    std::map<core::route_name, route_timeouts> routes_;
+    // Invariant: the sum of recent_requests over all routes.
+    std::uint32_t recent_requests_ = 0;
+    // The result of find_longest_timeout() after the last request.
     core::milliseconds longest_timeout_{0};
 };
 
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -99,7 +99,6 @@
         return;
     }
     weighted_split_.reset();
-    caller_timeouts_.clear();
     auto const& limits = view_->routes->source_configuration().limits;
     auto settings = server_->settings();
     settings.sizes = {limits.max_header_bytes, limits.max_body_bytes};
