--- a/src/retries/retry_budget.cpp
+++ b/src/retries/retry_budget.cpp
@@ -12,7 +12,8 @@
     auto const nodes =
         std::max<double>(1, static_cast<double>(node_count_.value()));
     return std::max(1.0, settings_.slack.value() *
-                             (settings_.used_share.value() / 100.0) / nodes);
+                             (settings_.used_slack_share.value() / 100.0) /
+                             nodes);
 }
 
 retry_budget::bucket& retry_budget::refill(core::service_name const& service,
@@ -47,8 +48,8 @@
                                   core::instant now, double repeat_share)
 {
     auto& it = refill(service, now);
-    auto const tokens_per_request =
-        settings_.ratio.value() / 100.0 * settings_.used_share.value() / 100.0;
+    auto const tokens_per_request = settings_.ratio.value() / 100.0 *
+                                    settings_.used_ratio_share.value() / 100.0;
     it.tokens += tokens_per_request * (1 - repeat_share) - repeat_share;
 }
 
--- a/src/retries/retry_budget.hpp
+++ b/src/retries/retry_budget.hpp
@@ -23,9 +23,13 @@
     core::percentage ratio{20};
     core::queue_length slack{64};
     core::milliseconds window{10'000};
-    // Percentage of these limits that the nodes use. The rest covers requests
-    // that fall outside the platform's window and nodes that have just started.
-    core::percentage used_share{60};
+    // Percentage of the ratio that the nodes use. Retries follow the requests
+    // that allow them, so only the calls of repeats that are estimated too low
+    // need a reserve.
+    core::percentage used_ratio_share{80};
+    // Percentage of the slack that the nodes use. The rest covers nodes that
+    // have just started and what refills within a window.
+    core::percentage used_slack_share{60};
 };
 
 class retry_budget
--- a/src/retries/tests/retry_budget_test.cpp
+++ b/src/retries/tests/retry_budget_test.cpp
@@ -157,3 +157,28 @@
     REQUIRE(it.try_take(service, at(0)));
     REQUIRE_FALSE(it.try_take(service, at(1)));
 }
+
+// Pattern: the workers of a service reject half of the calls, so that requests
+// of other services fail whose calls they are (nile-provident-grown). Guards
+// against a budget of which a large part stays unused then.
+TEST_CASE("most of the limit is used when half of the calls fail")
+{
+    constexpr std::size_t nodes = 59;
+    constexpr int requests_per_node = 300;
+    budget_settings settings;
+    settings.slack = core::queue_length(158);
+    std::vector<retry_budget> fleet(nodes, retry_budget(settings));
+    long retries = 0;
+    for (auto& it : fleet)
+    {
+        it.set_nodes(core::node_count(nodes));
+        for (int i = 0; i < requests_per_node; ++i)
+        {
+            auto const now = at(10'000L * i / requests_per_node);
+            it.record_request(service, now);
+            retries += i % 2 == 0 && it.try_take(service, now) ? 1 : 0;
+        }
+    }
+    REQUIRE(static_cast<double>(retries) >
+            0.75 * 0.2 * nodes * requests_per_node);
+}
