--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -73,6 +73,9 @@
               "Revision of the store that is held.", it.as_of.value());
     add_gauge(out, "yuccafall_workers", "Workers that may get work.",
               it.workers);
+    add_gauge(out, "yuccafall_evacuated_data_centres",
+              "Data centres to whose workers nothing is sent.",
+              it.evacuations.size());
     add_gauge(out, "yuccafall_store_reachable",
               "1 if the last call to the store succeeded.",
               it.store_reachable ? 1 : 0);
@@ -155,6 +158,10 @@
     add_counter(out, "yuccafall_worker_refused_total",
                 "Offers that were refused, by the node or the worker.",
                 core::value_of(it.refused));
+    add_counter(out, "yuccafall_worker_evacuated_total",
+                "Offers that were refused because the data centre is "
+                "evacuated.",
+                core::value_of(it.evacuated));
     add_counter(out, "yuccafall_worker_rejected_total",
                 "Calls that the worker turned away.",
                 core::value_of(it.rejected_by_worker));
--- a/src/admin/node_state.hpp
+++ b/src/admin/node_state.hpp
@@ -3,6 +3,7 @@
 #define YUCCAFALL_ADMIN_NODE_STATE_HPP
 
 #include <memory>
+#include <vector>
 
 #include "core/ids.hpp"
 #include "core/units.hpp"
@@ -19,6 +20,19 @@
     core::data_centre data_centre;
 };
 
+// A data centre to whose workers nothing may be sent.
+struct evacuation_status
+{
+    core::data_centre data_centre;
+    // Store revision at which the operator asked for it.
+    core::revision revision;
+    // Time since this node learned of it.
+    core::milliseconds known_for{0};
+    // Workers that would get calls otherwise. It is 0 for a name that no data
+    // centre has.
+    std::size_t workers = 0;
+};
+
 struct control_status
 {
     bool ready = false;
@@ -30,7 +44,9 @@
     std::size_t routes = 0;
     // Routes of a kind that this version does not know.
     std::size_t unknown_kinds = 0;
+    // Workers that may get calls. Those of evacuated data centres do not count.
     std::size_t workers = 0;
+    std::vector<evacuation_status> evacuations;
     // Whether this node reads the store directly. Other nodes receive the
     // changes from their peers.
     bool reads_store = true;
--- a/src/admission/queue_messages.hpp
+++ b/src/admission/queue_messages.hpp
@@ -118,9 +118,13 @@
 };
 struct timer_expired
 {};
-// The worker starts to drain. Waiting calls and new calls are refused.
+// The worker gets no more calls, because it starts to drain or because its data
+// centre is evacuated. Waiting calls and new calls are refused.
 struct drain_started
-{};
+{
+    // The kind of the refusals.
+    core::error_kind kind = core::error_kind::leaving;
+};
 struct drain_ended
 {};
 using event =
--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -150,9 +150,9 @@
 void slot_queue::on(call_offered const& it, core::instant now, actions& out)
 {
     auto const& job = it.job;
-    if (draining_)
+    if (drain_kind_)
     {
-        out.emplace_back(refuse_call{job.call, core::error_kind::leaving, {}});
+        out.emplace_back(refuse_call{job.call, *drain_kind_, {}});
         return;
     }
     waiting_call new_call{job, expected_service_time(job.route),
@@ -374,12 +374,12 @@
     refuse_excess_late_calls(now, out);
 }
 
-void slot_queue::on(drain_started const&, core::instant, actions& out)
+void slot_queue::on(drain_started const& it, core::instant, actions& out)
 {
-    draining_ = true;
-    for (auto const& [call, it] : waiting_)
+    drain_kind_ = it.kind;
+    for (auto const& [call, waiting] : waiting_)
     {
-        out.emplace_back(refuse_call{call, core::error_kind::leaving, {}});
+        out.emplace_back(refuse_call{call, it.kind, {}});
         body_pacer_.remove(call);
     }
     waiting_.clear();
@@ -387,7 +387,7 @@
 
 void slot_queue::on(drain_ended const&, core::instant, actions&)
 {
-    draining_ = false;
+    drain_kind_.reset();
 }
 
 core::duration slot_queue::min_time_to_start(waiting_call const& it) const
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -107,7 +107,7 @@
     void on(call_rejected const&, core::instant now, actions& out);
     void on(slots_changed const& it, core::instant now, actions& out);
     void on(timer_expired const&, core::instant now, actions& out);
-    void on(drain_started const&, core::instant now, actions& out);
+    void on(drain_started const& it, core::instant now, actions& out);
     void on(drain_ended const&, core::instant now, actions& out);
 
     void start_ready_calls(core::instant now, actions& out);
@@ -164,7 +164,8 @@
     rate_limiter rate_limiter_;
     std::map<core::call_id, waiting_call> waiting_;
     running_calls running_;
-    bool draining_ = false;
+    // The kind of the refusals while the worker gets no calls, otherwise empty.
+    std::optional<core::error_kind> drain_kind_;
     core::percentage relative_service_time_{100};
     // Number of external calls in the most recent load report.
     std::size_t external_calls_ = 0;
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -366,6 +366,27 @@
     REQUIRE(refusals(f.offer(4, 40)).empty());
 }
 
+// Guards against calls that wait for an evacuated worker until their deadline,
+// and against a refusal that the ingress takes for a failure of the worker.
+TEST_CASE("an evacuation refuses waiting calls and lets running ones end")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    f.offer(2, 0);
+    auto const it = refusals(
+        f.queue->handle(drain_started{core::error_kind::evacuated}, at(10)));
+    REQUIRE(it.size() == 1);
+    REQUIRE(it.front().kind == core::error_kind::evacuated);
+    REQUIRE(f.queue->running() == 1);
+    REQUIRE(refusals(f.offer(3, 20)).front().kind ==
+            core::error_kind::evacuated);
+    // The worker leaves while its data centre is evacuated.
+    f.queue->handle(drain_started{}, at(30));
+    REQUIRE(refusals(f.offer(4, 40)).front().kind == core::error_kind::leaving);
+    f.queue->handle(drain_ended{}, at(50));
+    REQUIRE(refusals(f.offer(5, 60)).empty());
+}
+
 TEST_CASE("any order of events stays within the slots and starts a call once")
 {
     rc::prop("events", [](std::vector<std::uint8_t> const& script) {
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -23,6 +23,7 @@
      true},
     {error_kind::overloaded, "overloaded", 503, call_execution::not_run, true},
     {error_kind::leaving, "leaving", 503, call_execution::not_run, true},
+    {error_kind::evacuated, "evacuated", 503, call_execution::not_run, true},
     {error_kind::expired, "expired", 503, call_execution::not_run, true},
     {error_kind::upstream_rejected, "upstream_rejected", 503,
      call_execution::not_run, true},
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -24,6 +24,9 @@
     overloaded,
     // The worker or the node is about to stop.
     leaving,
+    // The operator has asked that nothing more be sent to the workers of the
+    // data centre.
+    evacuated,
     // The time limit passed before the call ran.
     expired,
     // The worker refused the call.
@@ -46,7 +49,7 @@
     io,
 };
 
-inline constexpr std::size_t error_kind_count = 23;
+inline constexpr std::size_t error_kind_count = 24;
 
 // Whether a call that ended with an error was executed by a worker, as far as
 // that is known.
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -34,11 +34,31 @@
         return balancing::outcome::unreachable;
     case error_kind::wrong_upstream:
         return balancing::outcome::address_reused;
+    // A refusal as evacuated says nothing about the worker.
+    case error_kind::evacuated:
     default:
         return balancing::outcome::refused;
     }
 }
 
+// Adds the upstreams in the data centres to the set.
+void add_upstreams_in(std::set<core::data_centre> const& data_centres,
+                      std::vector<balancing::upstream> const& upstreams,
+                      std::set<core::upstream_id>& to)
+{
+    if (data_centres.empty())
+    {
+        return;
+    }
+    for (auto const& it : upstreams)
+    {
+        if (data_centres.count(it.data_centre) != 0)
+        {
+            to.insert(it.id);
+        }
+    }
+}
+
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::max(std::chrono::duration_cast<core::milliseconds>(it),
@@ -145,7 +165,10 @@
     if (found == view_->upstreams.end() || found->second.empty())
     {
         return core::failure(error_kind::no_upstream,
-                             "no worker is listed for the service");
+                             view_->evacuated_upstreams.count(service_) == 0
+                                 ? "no worker is listed for the service"
+                                 : "all workers of the service are in "
+                                   "evacuated data centres");
     }
     upstreams_ = &found->second;
     http::strip_connection_headers(request_.headers);
@@ -184,7 +207,7 @@
                                         request_.body.size() > max_inline_body,
                                         nested_, expects_long_response()};
     auto const found = ingress_->upstream_scores_.choose(
-        *upstreams_, tried_upstreams_, traits, now, ingress_->random_);
+        *upstreams_, excluded_upstreams(), traits, now, ingress_->random_);
     std::visit(
         core::overloaded{[&](balancing::chosen const& it) { send_offer(it); },
                          [&](balancing::none_available const&) {
@@ -195,6 +218,17 @@
         found);
 }
 
+std::set<core::upstream_id> call::excluded_upstreams() const
+{
+    auto out = tried_upstreams_;
+    if (ingress_->view_ != view_)
+    {
+        add_upstreams_in(ingress_->view_->evacuated, *upstreams_, out);
+    }
+    add_upstreams_in(avoided_data_centres_, *upstreams_, out);
+    return out;
+}
+
 void call::send_offer(balancing::chosen const& choice)
 {
     auto const now = core::boot_clock::now();
@@ -380,7 +414,11 @@
         try_next_upstream();
         return;
     }
-    redirects_ += step.uses_retry_budget ? 0 : 1;
+    if (step.avoid_data_centre)
+    {
+        avoided_data_centres_.insert(upstream_->data_centre);
+    }
+    redirects_ += step.uses_retry_budget || step.avoid_data_centre ? 0 : 1;
     if (step.uses_retry_budget &&
         !ingress_->retry_budget_.try_take(service_, now))
     {
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -47,6 +47,10 @@
     // are sent in parts.
     bool expects_long_response() const;
     void try_next_upstream();
+    // Returns the upstreams that must not get the call: those that it has been
+    // offered to, and those in data centres that have been evacuated since the
+    // call began.
+    std::set<core::upstream_id> excluded_upstreams() const;
     void send_offer(balancing::chosen const& choice);
     void on_message(peers::message it);
     void on(peers::body_request const& it);
@@ -96,6 +100,9 @@
     core::instant target_time_;
 
     std::set<core::upstream_id> tried_upstreams_;
+    // A node beside a worker has refused the call because its data centre is
+    // evacuated, which the view may not state yet.
+    std::set<core::data_centre> avoided_data_centres_;
     // Number of attempts that reached a worker.
     std::uint32_t workers_reached_ = 0;
     std::uint32_t redirects_ = 0;
--- a/src/ingress/next_step.cpp
+++ b/src/ingress/next_step.cpp
@@ -29,6 +29,10 @@
     {
         return no_further_attempt;
     }
+    if (result.kind == core::error_kind::evacuated && !result.reached_worker)
+    {
+        return try_another{false, false, true};
+    }
     if (result.required_free_slot &&
         result.kind == core::error_kind::overloaded && !result.reached_worker)
     {
--- a/src/ingress/next_step.hpp
+++ b/src/ingress/next_step.hpp
@@ -55,8 +55,8 @@
     // those that may have reached it before the connection was lost.
     std::uint32_t workers_reached = 0;
     // Number of attempts that were made because the one before reached no
-    // worker. Those after the refusal of an offer that required a free slot do
-    // not count.
+    // worker. Those after the refusal of an offer that required a free slot, or
+    // by a worker whose data centre is evacuated, do not count.
     std::uint32_t redirects = 0;
     // Time until the deadline.
     core::milliseconds remaining{0};
@@ -75,6 +75,10 @@
     // The upstream that refused may be chosen again. If it gets an offer that
     // does not require a free slot, the call may wait in its queue.
     bool may_reselect_upstream = false;
+    // The data centre of the upstream that refused is evacuated. None of its
+    // workers may be chosen, so the number of such attempts is at most that of
+    // the data centres, and they do not count as redirects.
+    bool avoid_data_centre = false;
 };
 // The caller is to be sent an error response.
 struct give_up
--- a/src/ingress/tests/next_step_test.cpp
+++ b/src/ingress/tests/next_step_test.cpp
@@ -50,6 +50,28 @@
     REQUIRE_FALSE(gets_another_attempt(idempotent, failed));
 }
 
+// Guards against a call that is refused although a worker elsewhere could run
+// it: a node that has not seen an evacuation yet offers the call to workers of
+// the evacuated data centre first.
+TEST_CASE("a refusal as evacuated moves the call to another data centre")
+{
+    auto call = make_progress(repeatability::non_idempotent);
+    call.redirects = max_redirects;
+    for (bool const required_free_slot : {false, true})
+    {
+        attempt_refused const evacuated{error_kind::evacuated, milliseconds(0),
+                                        false, required_free_slot};
+        auto const step =
+            std::get<try_another>(decide_next_step(call, evacuated));
+        REQUIRE(step.avoid_data_centre);
+        REQUIRE_FALSE(step.uses_retry_budget);
+        REQUIRE_FALSE(step.may_reselect_upstream);
+    }
+    call.remaining = milliseconds(50);
+    REQUIRE_FALSE(gets_another_attempt(
+        call, attempt_refused{error_kind::evacuated, {}, false, false}));
+}
+
 // Guards against calls that queue at a full worker while another one has a free
 // slot. Many nodes choose the same worker when its load report is stale. The
 // worker refuses such a call and stays a candidate if no other worker is free.
--- a/src/ingress/traffic_view.hpp
+++ b/src/ingress/traffic_view.hpp
@@ -23,6 +23,12 @@
     std::shared_ptr<routing::route_index const> routes;
     // The workers of each service that may receive calls.
     std::map<core::service_name, std::vector<balancing::upstream>> upstreams;
+    // Nothing may be offered to the workers of these data centres.
+    std::set<core::data_centre> evacuated;
+    // The workers of each service that are left out of `upstreams` because
+    // their data centres are evacuated.
+    std::map<core::service_name, std::vector<balancing::upstream>>
+        evacuated_upstreams;
     // The platform lists these workers at the local worker's address.
     std::vector<upstream::listed_worker> local_workers;
     // Number of nodes that share the retry budget.
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -10,6 +10,7 @@
 
 #include "core/log.hpp"
 #include "core/overloaded.hpp"
+#include "node/traffic_view_builder.hpp"
 #include "platform/store_values.hpp"
 
 namespace yuccafall::node {
@@ -157,7 +158,21 @@
     }
     it.ready = is_ready();
     it.as_of = replicator_.state().as_of();
-    it.workers = directory_.eligible_workers().size();
+    std::map<core::data_centre, std::size_t> evacuated_workers;
+    for (auto const& worker : directory_.eligible_workers())
+    {
+        ++(evacuations_.contains(worker.data_centre)
+               ? evacuated_workers[worker.data_centre]
+               : it.workers);
+    }
+    for (auto const& [data_centre, evacuation] : evacuations_.all())
+    {
+        it.evacuations.push_back(
+            {data_centre, evacuation.revision,
+             std::chrono::duration_cast<core::milliseconds>(
+                 core::boot_clock::now() - evacuation.learned_at),
+             evacuated_workers[data_centre]});
+    }
     it.reads_store = replicator_.reads_store();
     it.store_reachable = store_reachable_;
     it.confirmed_ago = replicator_.confirmed_ago(core::boot_clock::now());
@@ -289,6 +304,9 @@
                                 [&](platform::worker_key const& key) {
                                     apply_worker_entry(key.id, it);
                                 },
+                                [&](platform::evacuation_key const& key) {
+                                    apply_evacuation(key.data_centre, it);
+                                },
                                 [](platform::other_key const&) {}},
                platform::parse_key(it.key));
 }
@@ -377,6 +395,28 @@
     update_directory(membership::entry_written{std::move(*entry), it.revision});
 }
 
+void control_plane::apply_evacuation(core::data_centre const& data_centre,
+                                     replication::store_item const& it)
+{
+    auto const now = core::boot_clock::now();
+    membership::evacuation_event const event =
+        it.deleted ? membership::evacuation_event(
+                         membership::evacuation_deleted{data_centre})
+                   : membership::evacuation_written{data_centre, it.revision};
+    if (!evacuations_.handle(event, now))
+    {
+        return;
+    }
+    view_outdated_ = true;
+    core::log_event(
+        core::log_level::info, "evacuation_changed",
+        {{"data_centre", data_centre.value()},
+         {"evacuated", !it.deleted},
+         {"revision", it.revision.value()},
+         {"confirmed_ago_ms", replicator_.confirmed_ago(now).count()},
+         {"evacuated_data_centres", evacuations_.all().size()}});
+}
+
 void control_plane::update_directory(membership::directory_event const& it)
 {
     view_outdated_ =
@@ -389,32 +429,12 @@
     {
         return;
     }
-    auto view = std::make_shared<ingress::traffic_view>();
-    view->routes = routes_;
-    std::set<core::ip_address> nodes;
-    for (auto const& it : directory_.eligible_workers())
-    {
-        nodes.insert(it.address.address);
-        view->upstreams[it.service].push_back(
-            {it.id,
-             it.started,
-             {it.address.address, settings_.traffic.port},
-             it.data_centre,
-             it.slots});
-    }
-    for (auto const& [id, it] : directory_.known_workers())
-    {
-        if (it.address == settings_.worker)
-        {
-            view->local_workers.push_back(
-                {id, it.started, it.slots,
-                 it.state == membership::worker_state::draining});
-        }
-    }
-    view->poisoned = suspects_.poisoned(core::boot_clock::now());
-    view->suspects = suspects_.suspects(core::boot_clock::now());
-    view->nodes = core::node_count(std::max<std::size_t>(nodes.size(), 1));
-    view_ = std::move(view);
+    view_ = traffic_view_builder()
+                .routes(routes_)
+                .workers(directory_, evacuations_, settings_.traffic.port)
+                .local_workers(directory_, evacuations_, settings_.worker)
+                .suspects(suspects_, core::boot_clock::now())
+                .build();
     publish_(view_);
     update_role();
 }
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -15,6 +15,7 @@
 #include "admin/admin_server.hpp"
 #include "admin/node_state.hpp"
 #include "ingress/traffic_view.hpp"
+#include "membership/evacuations.hpp"
 #include "membership/worker_directory.hpp"
 #include "node/control_links.hpp"
 #include "node/settings.hpp"
@@ -68,6 +69,8 @@
     void apply_configuration(replication::store_item const& it);
     void apply_worker_entry(core::upstream_id const& id,
                             replication::store_item const& it);
+    void apply_evacuation(core::data_centre const& data_centre,
+                          replication::store_item const& it);
     void update_directory(membership::directory_event const& it);
     // Publishes a new view to the traffic thread if the last one is outdated.
     void publish_view();
@@ -87,11 +90,12 @@
     replication::replicator replicator_;
     std::shared_ptr<control_links> links_;
     membership::worker_directory directory_;
+    membership::evacuations evacuations_;
     poison::suspect_list suspects_;
     std::shared_ptr<routing::route_index const> routes_;
     std::shared_ptr<ingress::traffic_view const> view_;
     // True if the view that was published last does not match the current
-    // configuration, workers or poisoned requests.
+    // configuration, workers, evacuations or poisoned requests.
     bool view_outdated_ = false;
     bool store_reachable_ = true;
     std::uint64_t refused_configurations_ = 0;
--- a/src/upstream/counters.hpp
+++ b/src/upstream/counters.hpp
@@ -14,6 +14,8 @@
     core::counter runs{0};
     // Calls that were refused by the node or the worker.
     core::counter refused{0};
+    // Those of them that were refused because the data centre is evacuated.
+    core::counter evacuated{0};
     core::counter rejected_by_worker{0};
     core::counter failed{0};
     core::counter canceled{0};
--- a/src/upstream/local_workers.cpp
+++ b/src/upstream/local_workers.cpp
@@ -47,6 +47,19 @@
                        [&](auto const& it) { return leaves(it.first, now); });
 }
 
+bool local_workers::is_evacuated(core::upstream_id const& id) const
+{
+    auto const listed = listed_.find(id);
+    return listed != listed_.end() ? listed->second.evacuated : all_evacuated();
+}
+
+bool local_workers::all_evacuated() const
+{
+    return !listed_.empty() &&
+           std::all_of(listed_.begin(), listed_.end(),
+                       [](auto const& it) { return it.second.evacuated; });
+}
+
 core::worker_start local_workers::start_of(core::upstream_id const& id) const
 {
     auto const listed = listed_.find(id);
--- a/src/upstream/local_workers.hpp
+++ b/src/upstream/local_workers.hpp
@@ -53,6 +53,12 @@
     // Returns whether no listed worker may get calls. While no worker has been
     // listed yet, the list may not have arrived, and the result is false.
     bool all_leave(core::instant now) const;
+    // Returns whether the data centre of the worker is evacuated. All workers
+    // at one address are in the same data centre, so an unlisted worker counts
+    // as evacuated if all listed ones are.
+    bool is_evacuated(core::upstream_id const& id) const;
+    // Returns whether there are listed workers and all are evacuated.
+    bool all_evacuated() const;
     // Returns the start of the worker, or an empty one if it is not listed.
     core::worker_start start_of(core::upstream_id const& id) const;
 
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -148,6 +148,11 @@
     call.offer = std::move(offer);
     call.reply = std::move(reply);
     call.deadline = now + call.offer.deadline_remaining;
+    if (workers_.is_evacuated(call.offer.upstream))
+    {
+        refuse(call, error_kind::evacuated, {}, false);
+        return;
+    }
     if (workers_.leaves(call.offer.upstream, now))
     {
         refuse(call, error_kind::leaving, {}, false);
@@ -271,6 +276,11 @@
     {
         return;
     }
+    if (workers_.all_evacuated())
+    {
+        handle_event(admission::drain_started{error_kind::evacuated});
+        return;
+    }
     // Calls that wait for a draining worker are refused, since another worker
     // can run them sooner.
     if (workers_.all_leave(core::boot_clock::now()))
@@ -383,6 +393,10 @@
                           core::milliseconds retry_after, bool reached_worker)
 {
     core::add(counters_->refused);
+    if (kind == error_kind::evacuated)
+    {
+        core::add(counters_->evacuated);
+    }
     // Refusing an offer that required a free slot is ordinary, since the call
     // goes on to another worker.
     auto const event_type = call.offer.has_alternative
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -5,7 +5,8 @@
 // An offer is the message by which the node that received a caller's request
 // asks this node to run the call. A session is the connection from one such
 // node. A run is the execution of one call in the worker. Draining means that
-// calls that run may finish and all others are refused.
+// calls that run may finish and all others are refused. The same applies while
+// the data centre of the worker is evacuated.
 #ifndef YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 #define YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 
