--- a/src/admin/response_bodies.cpp
+++ b/src/admin/response_bodies.cpp
@@ -68,14 +68,17 @@
     return out;
 }
 
+using upstreams_by_service =
+    std::map<core::service_name, std::vector<balancing::upstream>>;
+
 json upstreams_json(routing::route const& route,
-                    ingress::traffic_view const& view)
+                    upstreams_by_service const& upstreams)
 {
     auto out = json::array();
     for (auto const& target : route.targets)
     {
-        auto const found = view.upstreams.find(target.service);
-        if (found == view.upstreams.end())
+        auto const found = upstreams.find(target.service);
+        if (found == upstreams.end())
         {
             continue;
         }
@@ -91,6 +94,30 @@
     return out;
 }
 
+json evacuations_json(std::vector<evacuation_status> const& evacuations)
+{
+    auto out = json::array();
+    for (auto const& it : evacuations)
+    {
+        out.push_back({{"data_centre", it.data_centre.value()},
+                       {"revision", it.revision.value()},
+                       {"known_for_ms", it.known_for.count()},
+                       {"workers", it.workers}});
+    }
+    return out;
+}
+
+// Reads the data centres from the output of evacuations_json().
+std::set<core::data_centre> parse_evacuations(json const& array)
+{
+    std::set<core::data_centre> out;
+    for (auto const& it : array)
+    {
+        out.emplace(it.at("data_centre").get<std::string>());
+    }
+    return out;
+}
+
 struct data_centre_counts
 {
     std::uint64_t in_force = 0;
@@ -116,6 +143,42 @@
     }
 }
 
+// Returns, for each evacuation that any node has seen, how many nodes have.
+json evacuation_rows(std::vector<node_status> const& nodes)
+{
+    std::set<core::data_centre> evacuated;
+    for (auto const& it : nodes)
+    {
+        evacuated.insert(it.evacuated.begin(), it.evacuated.end());
+    }
+    auto rows = json::array();
+    for (auto const& data_centre : evacuated)
+    {
+        std::uint64_t seen = 0;
+        std::uint64_t unknown = 0;
+        std::vector<std::string> laggards;
+        for (auto const& it : nodes)
+        {
+            if (it.evacuated.count(data_centre) != 0)
+            {
+                ++seen;
+                continue;
+            }
+            unknown += it.responded ? 0 : 1;
+            if (laggards.size() < max_listed_laggards)
+            {
+                laggards.push_back(it.name);
+            }
+        }
+        rows.push_back({{"data_centre", data_centre.value()},
+                        {"seen", seen},
+                        {"not_seen", nodes.size() - seen - unknown},
+                        {"unknown", unknown},
+                        {"laggards", laggards}});
+    }
+    return rows;
+}
+
 } // namespace
 
 std::string status_body(node_state const& it)
@@ -133,6 +196,7 @@
                       {"routes", control.routes},
                       {"routes_of_unknown_kind", control.unknown_kinds},
                       {"workers", control.workers},
+                      {"evacuations", evacuations_json(control.evacuations)},
                       {"peers", control.peers},
                       {"reads_store", control.reads_store},
                       {"store_reachable", control.store_reachable},
@@ -174,7 +238,9 @@
          fmt::format("\"{}\" is the longest prefix of host \"{}\" that matches "
                      "the path",
                      route->prefix, route->host)},
-        {"upstreams", upstreams_json(*route, *it.view)}};
+        {"upstreams", upstreams_json(*route, it.view->upstreams)},
+        {"evacuated_upstreams",
+         upstreams_json(*route, it.view->evacuated_upstreams)}};
     return out.dump();
 }
 
@@ -191,6 +257,9 @@
         out.version =
             core::configuration_version(it.at("version").get<std::uint64_t>());
         out.refused = it.at("refused").get<std::uint64_t>();
+        // An older version of the program does not state it.
+        out.evacuated =
+            parse_evacuations(it.value("evacuations", json::array()));
         return out;
     }
     catch (json::exception const&)
@@ -221,6 +290,7 @@
     }
     json const out = {{"revision", version.value()},
                       {"data_centres", rows},
+                      {"evacuations", evacuation_rows(nodes)},
                       {"complete", complete}};
     return out.dump();
 }
--- a/src/admin/response_bodies.hpp
+++ b/src/admin/response_bodies.hpp
@@ -3,6 +3,7 @@
 #define YUCCAFALL_ADMIN_RESPONSE_BODIES_HPP
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,13 +31,16 @@
     core::configuration_version version;
     // Number of configurations that the node has rejected.
     std::uint64_t refused = 0;
+    // The data centres to whose workers the node sends nothing.
+    std::set<core::data_centre> evacuated;
 };
 
 // Returns nothing if the text is not an output of status_body().
 std::optional<node_status> parse_status(std::string const& body);
 
 // Counts the nodes of each data centre in which the version is in force. A node
-// that did not respond counts as unknown and never as in force.
+// that did not respond counts as unknown and never as in force. For each
+// evacuation that any node has seen, counts the nodes that have seen it.
 std::string where_body(core::configuration_version version,
                        std::vector<node_status> const& nodes);
 
--- a/src/commands/explain.cpp
+++ b/src/commands/explain.cpp
@@ -13,10 +13,10 @@
 
 using json = nlohmann::json;
 
-void print_upstream(json const& it, std::ostream& out)
+void print_upstream(std::string_view label, json const& it, std::ostream& out)
 {
     fmt::print(
-        out, "upstream {}: service {}, data centre {}, slots {}\n",
+        out, "{} {}: service {}, data centre {}, slots {}\n", label,
         it.at("id").get<std::string>(), it.at("service").get<std::string>(),
         it.at("data_centre").get<std::string>(), plain_text(it.at("slots")));
 }
@@ -36,7 +36,15 @@
     }
     for (auto const& upstream : array_at(it, "upstreams"))
     {
-        print_upstream(upstream, out);
+        print_upstream("upstream", upstream, out);
+    }
+    // A node of an older version does not state them.
+    if (it.contains("evacuated_upstreams"))
+    {
+        for (auto const& upstream : array_at(it, "evacuated_upstreams"))
+        {
+            print_upstream("evacuated upstream", upstream, out);
+        }
     }
     return exit_code::success;
 }
--- a/src/commands/tests/admin_commands_test.cpp
+++ b/src/commands/tests/admin_commands_test.cpp
@@ -126,6 +126,25 @@
     REQUIRE(missing.out == "no_route: no path\n");
 }
 
+TEST_CASE("where and explain print evacuations")
+{
+    fake_node fleet(R"({"revision":7,"data_centres":[],"complete":true,)"
+                    R"("evacuations":[{"data_centre":"lj-b","seen":4,)"
+                    R"("not_seen":1,"unknown":0,"laggards":["vm-3"]}]})");
+    REQUIRE(run({"where", fleet.flag()}).out ==
+            "revision 7: in force everywhere\n"
+            "evacuated lj-b: seen 4, not seen 1, unknown 0\n"
+            "  laggard vm-3\n");
+    fake_node node(
+        R"({"route":"r","version":7,"kind":"idempotent","timeout_ms":500,)"
+        R"("aim_ms":100,"rank":1,"attempts":2,"reason":"only one",)"
+        R"("targets":[],"upstreams":[],"evacuated_upstreams":[)"
+        R"({"id":"i-1","service":"s","data_centre":"lj-b","slots":6}]})");
+    auto const it = run({"explain", node.flag(), "GET", "/a"});
+    REQUIRE(it.out.find("evacuated upstream i-1: service s, data centre lj-b, "
+                        "slots 6\n") != std::string::npos);
+}
+
 TEST_CASE("status prints each key")
 {
     fake_node node(R"({"ready":true,"revision":5,"vm":"vm-1"})");
--- a/src/commands/where.cpp
+++ b/src/commands/where.cpp
@@ -27,6 +27,20 @@
     }
 }
 
+// The nodes that have not seen the evacuation are listed, also those that did
+// not respond.
+void print_evacuation(json const& it, std::ostream& out)
+{
+    fmt::print(out, "evacuated {}: seen {}, not seen {}, unknown {}\n",
+               it.at("data_centre").get<std::string>(),
+               plain_text(it.at("seen")), plain_text(it.at("not_seen")),
+               plain_text(it.at("unknown")));
+    for (auto const& name : array_at(it, "laggards"))
+    {
+        fmt::print(out, "  laggard {}\n", name.get<std::string>());
+    }
+}
+
 exit_code print_response(json const& it, std::ostream& out)
 {
     bool const is_complete = it.at("complete").get<bool>();
@@ -36,6 +50,14 @@
     {
         print_data_centre(data_centre, out);
     }
+    // A node of an older version does not state evacuations.
+    if (it.contains("evacuations"))
+    {
+        for (auto const& evacuation : array_at(it, "evacuations"))
+        {
+            print_evacuation(evacuation, out);
+        }
+    }
     return is_complete ? exit_code::success : exit_code::rollout_incomplete;
 }
 
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -389,14 +389,16 @@
 
 // Keeps the shortest retry delay that any refusal has stated. The refusal of an
 // offer that required a free slot does not count if the same worker may be
-// chosen again, since it says nothing about the queue of the worker.
+// chosen again, since it says nothing about the queue of the worker. The
+// refusal by a node in an evacuated data centre states no delay.
 void call::update_retry_after(attempt_result const& result,
                               next_step const& step)
 {
     auto const* refused = std::get_if<attempt_refused>(&result);
     auto const* another = std::get_if<try_another>(&step);
     if (refused == nullptr ||
-        (another != nullptr && another->may_reselect_upstream))
+        (another != nullptr &&
+         (another->may_reselect_upstream || another->avoid_data_centre)))
     {
         return;
     }
--- a/src/trace/request_trace.cpp
+++ b/src/trace/request_trace.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // Events that do not name a request but can explain what happened to one.
-constexpr std::array<std::string_view, 16> state_change_events{
+constexpr std::array<std::string_view, 17> state_change_events{
     "node_started",
     "drain_started",
     "drain_ended",
@@ -30,6 +30,7 @@
     "control_link_lost",
     "configuration_applied",
     "configuration_refused",
+    "evacuation_changed",
     "settings_read"};
 
 struct error_explanation
@@ -39,7 +40,7 @@
 };
 
 // Explains the kinds of errors with which a node ends the call of its caller.
-constexpr std::array<error_explanation, 15> error_explanations{{
+constexpr std::array<error_explanation, 16> error_explanations{{
     {"no_route", "no route of the configuration in force matches"},
     {"not_ready", "the node had no configuration yet; the call did not run"},
     {"no_upstream",
@@ -48,6 +49,8 @@
                    "responded too late; the call did "
                    "not run"},
     {"leaving", "the worker or the node was draining; the call did not run"},
+    {"evacuated",
+     "the data centre of the worker is evacuated; the call did not run"},
     {"expired",
      "too little time was left before the deadline; the call did not run"},
     {"upstream_rejected", "the worker rejected the call; the call did not run"},
