--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -59,6 +59,23 @@
         }
     }
 
+    // Waits until the node has logged a change and has passed it on to the
+    // thread that handles requests. A response to a request for its status
+    // comes after that.
+    bool wait_until_in_force(std::size_t vm, std::string const& log_text)
+    {
+        return wait_for_log(vm, log_text) && wait_for_version(vm, 2);
+    }
+
+    // Returns whether the node's metrics contain the line.
+    bool has_metric(std::size_t vm, std::string const& line)
+    {
+        auto const it =
+            send_request(admin_endpoint(vm), request("/metrics", "m"),
+                         core::milliseconds(3'000));
+        return it.body.find("\n" + line + "\n") != std::string::npos;
+    }
+
     int count_runs(std::string const& id)
     {
         int total = 0;
@@ -631,3 +648,112 @@
     REQUIRE(node.wait_for(core::milliseconds(10'000)) == 78);
     std::filesystem::remove_all(directory);
 }
+
+// Guards against requests that still reach the workers of an evacuated data
+// centre, against callers there who are no longer served, and against an
+// evacuation that a restart during an outage of the store ends.
+TEST_CASE("the workers of an evacuated data centre get no requests")
+{
+    running_deployment fleet({{"a", "shop", 6, core::milliseconds(5)},
+                              {"a", "shop", 6, core::milliseconds(5)},
+                              {"b", "shop", 6, core::milliseconds(5)},
+                              {"b", "shop", 6, core::milliseconds(5)},
+                              {"b", "desk", 6, core::milliseconds(5)}},
+                             {{"/look/", "idempotent", "shop"},
+                              {"/book/", "non_idempotent", "desk"}});
+    auto const arrivals_in_a = [&] {
+        return fleet.worker(0).counts().arrivals +
+               fleet.worker(1).counts().arrivals;
+    };
+    // Sends requests to all nodes and returns how many got a response.
+    auto const serve = [&](std::string const& round) {
+        int served = 0;
+        for (int i = 0; i < 20; ++i)
+        {
+            auto const id = fmt::format("{}{}", round, i);
+            served += fleet.call(static_cast<std::size_t>(i) % fleet.size(),
+                                 deployment::request("/look/", id))
+                                  .status == 200
+                          ? 1
+                          : 0;
+        }
+        return served;
+    };
+    auto const wait_for_all = [&](std::string const& text) {
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+        {
+            REQUIRE(fleet.wait_until_in_force(i, text));
+        }
+    };
+    REQUIRE(serve("before") == 20);
+    REQUIRE(arrivals_in_a() > 0);
+
+    fleet.store().put("op/evacuate/a", "{}");
+    wait_for_all("event=evacuation_changed data_centre=a evacuated=true");
+    auto const arrivals = arrivals_in_a();
+    REQUIRE(serve("evacuated") == 20);
+    REQUIRE(arrivals_in_a() == arrivals);
+    REQUIRE(fleet.wait_until_ready(0));
+    // No node has offered a call to the nodes beside these workers.
+    REQUIRE(fleet.has_metric(0, "yuccafall_worker_evacuated_total 0"));
+    REQUIRE(fleet.has_metric(1, "yuccafall_worker_evacuated_total 0"));
+
+    // All nodes restart, one after another, while the store is down.
+    fleet.store().set_mode(store_mode::unavailable);
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        fleet.node(i).kill();
+        fleet.node(i).wait_for(core::milliseconds(5'000));
+        fleet.start_node(i);
+        REQUIRE(fleet.wait_until_ready(i));
+    }
+    REQUIRE(serve("restarted") == 20);
+    REQUIRE(arrivals_in_a() == arrivals);
+
+    // A service without a worker elsewhere is refused and may be sent again.
+    fleet.store().set_mode(store_mode::available);
+    fleet.store().put("op/evacuate/b", "{}");
+    wait_for_all("event=evacuation_changed data_centre=b evacuated=true");
+    auto const refused =
+        fleet.call(4, deployment::request("/book/", "none", "POST"));
+    REQUIRE(refused.status == 503);
+    REQUIRE(*http::find_header(refused.headers, "Yuccafall-Error") ==
+            "no_upstream");
+    REQUIRE(http::find_header(refused.headers, "Retry-After"));
+    REQUIRE(fleet.count_runs("none") == 0);
+
+    fleet.store().erase("op/evacuate/b");
+    fleet.store().erase("op/evacuate/a");
+    wait_for_all("event=evacuation_changed data_centre=a evacuated=false");
+    REQUIRE(serve("after") == 20);
+    REQUIRE(arrivals_in_a() > arrivals);
+}
+
+// Guards against a call that began before an evacuation and is sent to the
+// evacuated data centre afterwards, because it keeps its view of the workers.
+TEST_CASE("a retry does not go to a data centre evacuated meanwhile")
+{
+    route_options route{"/look/", "idempotent", "shop"};
+    route.timeout_ms = 60'000;
+    running_deployment fleet({{"a", "shop", 6, core::milliseconds(60'000)},
+                              {"b", "shop", 6, core::milliseconds(5)},
+                              {"a", "desk", 6, core::milliseconds(5)}},
+                             {route});
+    int status = 0;
+    std::thread caller([&] {
+        status = fleet
+                     .call(2, deployment::request("/look/", "moved"),
+                           core::milliseconds(60'000))
+                     .status;
+    });
+    auto const began = fleet.wait_until_running(0);
+    fleet.store().put("op/evacuate/b", "{}");
+    auto const seen = fleet.wait_until_in_force(2, "event=evacuation_changed");
+    fleet.worker(0).crash();
+    caller.join();
+    REQUIRE(began);
+    REQUIRE(seen);
+    REQUIRE(status == 502);
+    REQUIRE(fleet.worker(1).counts().arrivals == 0);
+    REQUIRE(fleet.has_metric(1, "yuccafall_worker_offers_total 0"));
+}
