--- a/bench/soak/soak.cpp
+++ b/bench/soak/soak.cpp
@@ -96,10 +96,16 @@
 {
     std::size_t vm;
 };
-using fault = std::variant<node_killed, node_stopped, node_paused, store_faulty,
-                           history_dropped, configuration_changed,
-                           worker_faulty, worker_crashed, worker_draining,
-                           node_reloaded, worker_limited>;
+// The operator evacuates the data centre, and takes that back later.
+struct data_centre_evacuated
+{
+    std::string data_centre;
+};
+using fault =
+    std::variant<node_killed, node_stopped, node_paused, store_faulty,
+                 history_dropped, configuration_changed, worker_faulty,
+                 worker_crashed, worker_draining, node_reloaded, worker_limited,
+                 data_centre_evacuated>;
 
 // Returns the routes of a configuration. An odd configuration number adds one
 // more route.
@@ -161,6 +167,10 @@
         inject_faults();
         end_faults(core::instant::max());
         check_recovery();
+        if (!evacuations_.empty())
+        {
+            check_workers_get_requests();
+        }
         stop_callers();
         check_calls();
         check_logs();
@@ -238,7 +248,7 @@
     fault draw_fault()
     {
         auto const vm = random_.below(deployment_.size());
-        switch (random_.below(options_.extended ? 11 : 9))
+        switch (random_.below(options_.extended ? 12 : 9))
         {
         case 0:
             return node_killed{vm};
@@ -265,6 +275,8 @@
             return node_reloaded{vm};
         case 10:
             return worker_limited{vm};
+        case 11:
+            return data_centre_evacuated{random_.below(2) == 0 ? "a" : "b"};
         default:
             return worker_draining{vm};
         }
@@ -417,6 +429,49 @@
         });
     }
 
+    // Evacuations of one data centre may overlap. The key is deleted when the
+    // last of them ends.
+    void inject(data_centre_evacuated const& it, core::instant until)
+    {
+        auto const key = "op/evacuate/" + it.data_centre;
+        deployment_.store().put(key, "{}");
+        ++evacuations_[key];
+        schedule_end(until, [this, key] {
+            if (--evacuations_[key] == 0)
+            {
+                deployment_.store().erase(key);
+            }
+        });
+    }
+
+    // Checks that each worker gets requests again after evacuations. The
+    // callers still send requests meanwhile.
+    void check_workers_get_requests()
+    {
+        std::vector<std::uint64_t> arrivals_before;
+        for (std::size_t i = 0; i < deployment_.size(); ++i)
+        {
+            arrivals_before.push_back(deployment_.worker(i).counts().arrivals);
+        }
+        for (std::size_t i = 0; i < deployment_.size(); ++i)
+        {
+            auto const got_requests = [&] {
+                return deployment_.worker(i).counts().arrivals >
+                       arrivals_before[i];
+            };
+            for (int n = 0; n < max_recovery_attempts && !got_requests(); ++n)
+            {
+                pause_for(milliseconds(100));
+            }
+            if (!got_requests())
+            {
+                record_violation(fmt::format(
+                    "worker {} got no request after the evacuations", i));
+                result_.logs.push_back(deployment_.log(i));
+            }
+        }
+    }
+
     // The platform allows one and a half times the limit in any four seconds,
     // and five requests, from three seconds after the first statement of it.
     void check_limit(std::size_t vm, stand_ins::limit_episode const& it)
@@ -557,6 +612,8 @@
     // True for each VM whose node or worker is reserved for a fault that has
     // not ended yet.
     std::vector<bool> is_reserved_;
+    // Number of evacuations that have not ended, by their key in the store.
+    std::map<std::string, int> evacuations_;
     // True for each VM whose worker states a limit.
     std::vector<bool> is_limited_;
     // How often the node of each VM was killed, paused or resumed.
