--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -722,8 +722,13 @@
     REQUIRE(http::find_header(refused.headers, "Retry-After"));
     REQUIRE(fleet.count_runs("none") == 0);
 
+    // The keys are deleted during an outage, and the store discards its
+    // history.
+    fleet.store().set_mode(store_mode::unavailable);
     fleet.store().erase("op/evacuate/b");
     fleet.store().erase("op/evacuate/a");
+    fleet.store().discard_history();
+    fleet.store().set_mode(store_mode::available);
     wait_for_all("event=evacuation_changed data_centre=a evacuated=false");
     REQUIRE(serve("after") == 20);
     REQUIRE(arrivals_in_a() > arrivals);
