--- a/src/node/tests/traffic_view_builder_test.cpp
+++ b/src/node/tests/traffic_view_builder_test.cpp
@@ -141,7 +141,9 @@
     it.list("a1-new", "shop", "a", 1);
     it.directory.handle(entry_removed{core::upstream_id("a1")}, now);
     REQUIRE(it.upstreams("shop") == ids{"b1", "c1"});
-    for (auto const& worker : it.view()->local_workers)
+    auto const released = it.view();
+    REQUIRE_FALSE(released->local_workers.empty());
+    for (auto const& worker : released->local_workers)
     {
         REQUIRE(worker.evacuated);
     }
