--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -164,6 +164,20 @@
     add_gauge(out, "yuccafall_worker_rate_limit",
               "Requests a second that the worker takes, or 0 without a limit.",
               static_cast<double>(core::value_of(it.rate_limit)) / 1000);
+    add_gauge(out, "yuccafall_worker_cold_rate",
+              "Requests a second that the worker gets because it is or may be "
+              "cold, or 0 without a limit.",
+              static_cast<double>(core::value_of(it.cold_rate)) / 1000);
+    add_counter(out, "yuccafall_worker_cold_waited_total",
+                "Calls that waited for the cold rate before they were sent to "
+                "the worker.",
+                core::value_of(it.cold_waited));
+    add_counter(out, "yuccafall_worker_cold_refused_total",
+                "Offers that were refused because of the cold rate.",
+                core::value_of(it.cold_refused));
+    add_counter(out, "yuccafall_worker_health_requests_total",
+                "Health responses requested from the worker.",
+                core::value_of(it.health_requests));
     add_counter(out, "yuccafall_worker_lost_total",
                 "Calls that the worker dropped without a response.",
                 core::value_of(it.lost));
--- a/src/admission/queue_messages.hpp
+++ b/src/admission/queue_messages.hpp
@@ -15,6 +15,9 @@
 // - The stated rate of a worker is the number of requests a second that it
 //   takes from all nodes together. Only this queue sends requests to the
 //   worker, so it keeps to the limit for the whole fleet.
+// - The cold rate of a worker is the number of requests a second that it takes
+//   from all nodes together while it is cold or may be. It is in force beside
+//   the stated rate, and the stricter of the two determines the waits.
 // - A lost call was sent to the worker, which neither runs it nor has it
 //   waiting, and will not respond. Some workers drop calls so when they are
 //   full.
@@ -109,6 +112,13 @@
 {
     core::stated_rate rate;
 };
+// The cold rate in force has changed; rate_unknown means that there is none.
+struct cold_rate_changed
+{
+    core::stated_rate rate;
+    // When the worker's cold time ends, if it is known.
+    std::optional<core::instant> ends_at;
+};
 // The worker rejected a call although the queue counted a free slot.
 struct call_rejected
 {};
@@ -125,8 +135,8 @@
 {};
 using event =
     std::variant<call_offered, body_arrived, call_canceled, run_ended,
-                 load_reported, rate_stated, call_rejected, slots_changed,
-                 timer_expired, drain_started, drain_ended>;
+                 load_reported, rate_stated, cold_rate_changed, call_rejected,
+                 slots_changed, timer_expired, drain_started, drain_ended>;
 
 // Actions that the calling code carries out after each event.
 // Asks the calling code to request the body of the call from the node that
@@ -141,6 +151,8 @@
 struct start_call
 {
     core::call_id call;
+    // True if the call has waited for the cold rate although a slot was free.
+    bool waited_for_cold_rate = false;
 };
 struct refuse_call
 {
@@ -148,6 +160,8 @@
     core::error_kind kind;
     // Estimated time until the queue has room for the call.
     core::milliseconds retry_after{0};
+    // True if the cold rate is what the call would have to wait for.
+    bool due_to_cold_rate = false;
 };
 // States that the worker does not have a call that was sent to it, so that no
 // response will come. The call does not hold a slot any more. It has not ended
--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -93,7 +93,8 @@
     auto const external_slots = slots - std::min(slots, available_slots(now));
     pending_time +=
         service_times_.mean() * static_cast<long>(external_slots) / 2;
-    auto const rate_wait = rate_limiter_.wait(calls_ahead, now);
+    auto const rate_wait = std::max(rate_limiter_.wait(calls_ahead, now),
+                                    cold_rate_wait(calls_ahead, now));
     if (running() + external_slots + calls_ahead < slots)
     {
         return rate_wait;
@@ -110,6 +111,26 @@
     return std::max<core::duration>(wait, rate_wait);
 }
 
+std::size_t
+slot_queue::calls_ahead_of(std::optional<precedence> const& position,
+                           core::instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(waiting_.begin(), waiting_.end(), [&](auto const& it) {
+            return !position || !(*position < precedence_of(it.second, now));
+        }));
+}
+
+core::duration slot_queue::cold_rate_wait(std::size_t calls_ahead,
+                                          core::instant now) const
+{
+    auto const wait = cold_limiter_.wait(calls_ahead, now);
+    return cold_rate_ends_at_
+               ? std::min(wait, std::max(*cold_rate_ends_at_ - now,
+                                         core::duration::zero()))
+               : wait;
+}
+
 std::size_t slot_queue::max_late_calls() const
 {
     return settings_.slots.value() * settings_.max_late_share.value() / 100;
@@ -141,7 +162,8 @@
     for (std::size_t i = 0; i + max_late_calls() < late.size(); ++i)
     {
         out.emplace_back(refuse_call{
-            late[i].second, core::error_kind::overloaded, retry_delay(now)});
+            late[i].second, core::error_kind::overloaded, retry_delay(now),
+            waiting_.at(late[i].second).waited_for_cold_rate});
         remove_waiting_call(late[i].second);
     }
     request_bodies(now, out);
@@ -157,12 +179,16 @@
     }
     waiting_call new_call{job, expected_service_time(job.route),
                           !job.awaits_body};
-    auto const wait = std::max(expected_wait(precedence_of(new_call, now), now),
-                               wait_for_body(new_call, now));
+    auto const position = precedence_of(new_call, now);
+    auto const wait =
+        std::max(expected_wait(position, now), wait_for_body(new_call, now));
+    bool const waits_for_cold_rate =
+        wait > core::duration::zero() &&
+        wait == cold_rate_wait(calls_ahead_of(position, now), now);
     if (wait > core::duration::zero() && job.has_alternative)
     {
         out.emplace_back(refuse_call{job.call, core::error_kind::overloaded,
-                                     retry_delay(now)});
+                                     retry_delay(now), waits_for_cold_rate});
         return;
     }
     auto const run_ends_at = now + wait +
@@ -182,7 +208,7 @@
         ends_at + new_call.expected_service_time / 2 > job.deadline)
     {
         out.emplace_back(refuse_call{job.call, core::error_kind::overloaded,
-                                     retry_delay(now)});
+                                     retry_delay(now), waits_for_cold_rate});
         return;
     }
     bool const late_without_link =
@@ -201,7 +227,7 @@
     if (late && !job.nested && waiting_.size() >= max_late_calls())
     {
         out.emplace_back(refuse_call{job.call, core::error_kind::overloaded,
-                                     retry_delay(now)});
+                                     retry_delay(now), waits_for_cold_rate});
         return;
     }
     waiting_.emplace(job.call, std::move(new_call));
@@ -347,6 +373,19 @@
     start_ready_calls(now, out);
 }
 
+// The limiter allows no burst when the cold rate comes into force, and it does
+// not count the calls that were started just before. While the worker counted
+// as warm, these went to a warm worker: if it has crashed since, they ended
+// with its process, and the next process counts from zero. Only calls to a
+// worker that became cold without a visible event go beyond the cold rate.
+void slot_queue::on(cold_rate_changed const& it, core::instant now,
+                    actions& out)
+{
+    cold_rate_ends_at_ = it.ends_at;
+    cold_limiter_.state(it.rate, now);
+    start_ready_calls(now, out);
+}
+
 void slot_queue::on(call_rejected const&, core::instant now, actions&)
 {
     start_paused_until_ = now + settings_.rejection_pause;
@@ -405,7 +444,8 @@
         if (now + min_time_to_start(it->second) >= it->second.job.deadline)
         {
             out.emplace_back(refuse_call{it->first, core::error_kind::expired,
-                                         retry_delay(now)});
+                                         retry_delay(now),
+                                         it->second.waited_for_cold_rate});
             body_pacer_.remove(it->first);
             it = waiting_.erase(it);
             continue;
@@ -424,10 +464,15 @@
     rate_allows_call_at_ = {};
     while (running() < available_slots(now))
     {
-        if (auto const wait = rate_limiter_.wait(0, now);
-            wait > core::duration::zero())
+        auto const cold_wait = cold_limiter_.wait(0, now);
+        auto const wait = std::max(rate_limiter_.wait(0, now), cold_wait);
+        if (wait > core::duration::zero())
         {
             rate_allows_call_at_ = now + wait;
+            if (cold_wait == wait)
+            {
+                mark_waiting_for_cold_rate();
+            }
             return;
         }
         auto next = waiting_.end();
@@ -449,11 +494,21 @@
                                   next->second.expected_service_time,
                                   next->second.job.nested, false});
         rate_limiter_.record_start(now);
-        out.emplace_back(start_call{next->first});
+        cold_limiter_.record_start(now);
+        out.emplace_back(
+            start_call{next->first, next->second.waited_for_cold_rate});
         waiting_.erase(next);
     }
 }
 
+void slot_queue::mark_waiting_for_cold_rate()
+{
+    for (auto& [call, it] : waiting_)
+    {
+        it.waited_for_cold_rate = it.waited_for_cold_rate || it.ready;
+    }
+}
+
 std::optional<core::instant> slot_queue::next_timer() const
 {
     std::optional<core::instant> first;
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -46,13 +46,18 @@
     // How long the number of external calls in a worker's load report is taken
     // as valid.
     core::milliseconds external_load_ttl{400};
+    // No longest interval applies to the cold rate: it would raise a low rate,
+    // and health responses tell when the cold time ends.
+    rate_limiter_settings cold_pacing{core::milliseconds(250),
+                                      core::milliseconds(1'000'000)};
 };
 
 class slot_queue
 {
 public:
     explicit slot_queue(queue_settings settings)
-        : settings_(settings), body_pacer_(settings.body_pacing)
+        : settings_(settings), body_pacer_(settings.body_pacing),
+          cold_limiter_(settings.cold_pacing)
     {}
 
     std::vector<action> handle(event const& it, core::instant now);
@@ -70,6 +75,11 @@
     {
         return rate_limiter_.stated();
     }
+    // Returns the cold rate in force, or rate_unknown if there is none.
+    core::stated_rate const& cold_rate() const
+    {
+        return cold_limiter_.stated();
+    }
     core::percentage relative_service_time() const
     {
         return relative_service_time_;
@@ -97,6 +107,9 @@
         // False while the body has not arrived completely.
         bool ready = true;
         bool body_requested = false;
+        // True if the call has waited for the cold rate although a slot was
+        // free.
+        bool waited_for_cold_rate = false;
     };
     void on(call_offered const& it, core::instant now, actions& out);
     void on(body_arrived const& it, core::instant now, actions& out);
@@ -104,6 +117,7 @@
     void on(run_ended const& it, core::instant now, actions& out);
     void on(load_reported const& it, core::instant now, actions& out);
     void on(rate_stated const& it, core::instant now, actions& out);
+    void on(cold_rate_changed const& it, core::instant now, actions& out);
     void on(call_rejected const&, core::instant now, actions& out);
     void on(slots_changed const& it, core::instant now, actions& out);
     void on(timer_expired const&, core::instant now, actions& out);
@@ -111,6 +125,8 @@
     void on(drain_ended const&, core::instant now, actions& out);
 
     void start_ready_calls(core::instant now, actions& out);
+    // Records that the cold rate is what the ready calls wait for.
+    void mark_waiting_for_cold_rate();
     // Refuses waiting calls that have too little time left before their
     // deadline.
     void refuse_expired(core::instant now, actions& out);
@@ -137,6 +153,13 @@
     // precedence is given.
     core::duration expected_wait(std::optional<precedence> const& position,
                                  core::instant now) const;
+    // Returns the number of waiting calls that go ahead of such a call.
+    std::size_t calls_ahead_of(std::optional<precedence> const& position,
+                               core::instant now) const;
+    // Returns the time until the cold rate allows a call, at most until the
+    // worker's cold time ends.
+    core::duration cold_rate_wait(std::size_t calls_ahead,
+                                  core::instant now) const;
     // Returns the expected time until all bodies that go ahead of the new
     // call's body have arrived, or zero if that body is already here.
     core::duration wait_for_body(waiting_call const& new_call,
@@ -162,6 +185,8 @@
     service_times service_times_;
     response_sizes response_sizes_;
     rate_limiter rate_limiter_;
+    rate_limiter cold_limiter_;
+    std::optional<core::instant> cold_rate_ends_at_;
     std::map<core::call_id, waiting_call> waiting_;
     running_calls running_;
     bool draining_ = false;
@@ -171,8 +196,8 @@
     core::instant external_calls_reported_at_{};
     // No call is started before this time, because the worker rejected a call.
     core::instant start_paused_until_{};
-    // When the worker's rate allows the next call, if a slot is free and the
-    // rate is what calls wait for. The clock's epoch otherwise.
+    // When the two rates allow the next call, if a slot is free and a rate is
+    // what calls wait for. The clock's epoch otherwise.
     core::instant rate_allows_call_at_{};
 };
 
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -219,13 +219,16 @@
             remaining_wait + duration_from_ms(expected_run_time_ms *
                                               (unreported_count + 0.5) / slots);
     }
-    if (auto const* limited = std::get_if<core::rate_limited>(&load.rate))
+    for (auto const& rate : {load.rate, load.cold_rate})
     {
-        auto const interval_ms =
-            1e6 / std::max<double>(limited->limit.value(), 1);
-        out.time_to_slot = std::max(
-            out.time_to_slot,
-            remaining_wait + duration_from_ms(interval_ms * unreported_count));
+        if (auto const limit = core::limit_of(rate))
+        {
+            auto const interval_ms = 1e6 / std::max<double>(limit->value(), 1);
+            out.time_to_slot =
+                std::max(out.time_to_slot,
+                         remaining_wait +
+                             duration_from_ms(interval_ms * unreported_count));
+        }
     }
     if (traits.body_follows && load.body_rate.value() > 0)
     {
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -65,6 +65,10 @@
     core::percentage rejection_share;
     // The two waits above include the time until the rate allows a call.
     core::stated_rate rate;
+    // The rate that the node beside the worker keeps to because the worker is
+    // or may be cold, or rate_unknown if it keeps to none. The two waits above
+    // include it.
+    core::stated_rate cold_rate;
 };
 
 // How a call that was sent to an upstream ended.
--- a/src/core/stated_rate.hpp
+++ b/src/core/stated_rate.hpp
@@ -2,6 +2,7 @@
 #ifndef YUCCAFALL_CORE_STATED_RATE_HPP
 #define YUCCAFALL_CORE_STATED_RATE_HPP
 
+#include <optional>
 #include <variant>
 
 #include "core/units.hpp"
@@ -21,6 +22,13 @@
 };
 using stated_rate = std::variant<rate_unknown, rate_unlimited, rate_limited>;
 
+// Returns the limit, or nothing if the rate has none.
+inline std::optional<millihertz> limit_of(stated_rate const& it)
+{
+    auto const* limited = std::get_if<rate_limited>(&it);
+    return limited == nullptr ? std::nullopt : std::optional(limited->limit);
+}
+
 } // namespace yuccafall::core
 
 #endif
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -195,6 +195,18 @@
         found);
 }
 
+namespace {
+
+std::optional<core::warm_up_limits>
+warm_up_limits_of(traffic_view const& view, core::service_name const& name)
+{
+    auto const& services = view.routes->source_configuration().services;
+    auto const found = services.find(name);
+    return found == services.end() ? std::nullopt : found->second.warm_up;
+}
+
+} // namespace
+
 void call::send_offer(balancing::chosen const& choice)
 {
     auto const now = core::boot_clock::now();
@@ -224,6 +236,7 @@
     offer.origin = ingress_->settings_.service;
     offer.has_alternative = requires_free_slot_;
     offer.rate = ingress_->upstream_scores_.stated_rate(target.id);
+    offer.warm_up = warm_up_limits_of(*view_, service_);
     offer.body_follows = sends_body_separately;
     offer.body_size = core::byte_count(request_.body.size());
     body_sent_ = !sends_body_separately;
--- a/src/ingress/traffic_view.hpp
+++ b/src/ingress/traffic_view.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -25,6 +26,9 @@
     std::map<core::service_name, std::vector<balancing::upstream>> upstreams;
     // The platform lists these workers at the local worker's address.
     std::vector<upstream::listed_worker> local_workers;
+    // What the configuration states of the local worker's service. Empty until
+    // the first configuration arrives.
+    std::optional<routing::service> local_service;
     // Number of nodes that share the retry budget.
     core::node_count nodes{1};
     // These requests crash the workers that run them.
--- a/src/metadata/header_codec.hpp
+++ b/src/metadata/header_codec.hpp
@@ -56,6 +56,9 @@
     // The rate that the worker states, or unknown if its statement cannot be
     // read.
     core::stated_rate rate;
+    // How much longer the worker is cold: zero if it states no cold time, empty
+    // if its statement cannot be read. Only health responses state it.
+    std::optional<core::milliseconds> cold_remaining;
     // How long the worker keeps the connection open while it is idle.
     std::optional<core::milliseconds> idle_timeout;
 };
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -374,9 +374,28 @@
          {"data_centre", entry->data_centre.value()},
          {"draining", entry->state == membership::worker_state::draining},
          {"revision", it.revision.value()}});
+    view_outdated_ = view_outdated_ || changes_local_warm_up(*entry);
     update_directory(membership::entry_written{std::move(*entry), it.revision});
 }
 
+// The directory ignores changes of the cold time, since all nodes see all
+// entries. Only the node beside the worker needs to know of them.
+bool control_plane::changes_local_warm_up(
+    membership::worker_entry const& entry) const
+{
+    if (!view_ || entry.address != settings_.worker)
+    {
+        return false;
+    }
+    auto const& listed = view_->local_workers;
+    auto const found =
+        std::find_if(listed.begin(), listed.end(),
+                     [&](auto const& it) { return it.id == entry.id; });
+    constexpr core::milliseconds none{0};
+    return found != listed.end() &&
+           (found->cold_remaining > none) != (entry.warm_up_remaining > none);
+}
+
 void control_plane::update_directory(membership::directory_event const& it)
 {
     view_outdated_ =
@@ -408,9 +427,17 @@
         {
             view->local_workers.push_back(
                 {id, it.started, it.slots,
-                 it.state == membership::worker_state::draining});
+                 it.state == membership::worker_state::draining, false,
+                 it.warm_up_remaining});
         }
     }
+    if (routes_)
+    {
+        auto const& services = routes_->source_configuration().services;
+        auto const found = services.find(settings_.service);
+        view->local_service =
+            found == services.end() ? routing::service() : found->second;
+    }
     view->poisoned = suspects_.poisoned(core::boot_clock::now());
     view->suspects = suspects_.suspects(core::boot_clock::now());
     view->nodes = core::node_count(std::max<std::size_t>(nodes.size(), 1));
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -68,6 +68,9 @@
     void apply_configuration(replication::store_item const& it);
     void apply_worker_entry(core::upstream_id const& id,
                             replication::store_item const& it);
+    // Returns whether the entry is of the local worker and states, unlike the
+    // published view, that it is cold or that it is not.
+    bool changes_local_warm_up(membership::worker_entry const& entry) const;
     void update_directory(membership::directory_event const& it);
     // Publishes a new view to the traffic thread if the last one is outdated.
     void publish_view();
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -126,6 +126,10 @@
 void traffic_plane::publish(std::shared_ptr<ingress::traffic_view const> view)
 {
     asio::post(context_, [this, view = std::move(view)]() mutable {
+        if (view->local_service)
+        {
+            owner_->set_service(*view->local_service);
+        }
         owner_->set_workers(view->local_workers);
         owner_->set_suspects(view->suspects);
         ingress_->set_view(std::move(view));
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -76,9 +76,16 @@
                it);
 }
 
+void write_field(frame_writer& to, core::warm_up_limits const& it)
+{
+    to.array(2);
+    to.number(it.rate.value());
+    write_field(to, it.duration);
+}
+
 void write_field(frame_writer& to, balancing::load_report const& it)
 {
-    to.array(10);
+    to.array(11);
     to.number(it.running.value());
     to.number(it.waiting.value());
     to.number(it.slots.value());
@@ -89,6 +96,7 @@
     to.number(it.relative_service_time.value());
     to.number(it.rejection_share.value());
     write_field(to, it.rate);
+    write_field(to, it.cold_rate);
 }
 
 core::call_id read_call_id(frame_elements& from)
@@ -142,6 +150,20 @@
         core::millihertz(static_cast<std::uint32_t>(n - 1))};
 }
 
+// An empty array, and a rate of 0, stand for a service without a cold rate.
+std::optional<core::warm_up_limits> read_warm_up(frame_elements& from)
+{
+    auto it = from.array();
+    if (it.remaining() == 0)
+    {
+        return std::nullopt;
+    }
+    core::warm_up_limits out;
+    out.rate = read_uint32<core::millihertz>(it);
+    out.duration = read_duration(it);
+    return out.rate.value() == 0 ? std::nullopt : std::optional(out);
+}
+
 balancing::load_report read_load(frame_elements& from)
 {
     auto it = from.array();
@@ -156,6 +178,11 @@
     out.relative_service_time = read_uint32<core::percentage>(it);
     out.rejection_share = read_uint32<core::percentage>(it);
     out.rate = read_rate(it);
+    // An older version does not send the elements that follow.
+    if (it.remaining() > 0)
+    {
+        out.cold_rate = read_rate(it);
+    }
     // A newer version may append elements, which are ignored.
     return out;
 }
@@ -180,7 +207,9 @@
 
 void write_message(frame_writer& to, offer const& it)
 {
-    write_header(to, message_kind::offer, 19);
+    // The versions before the cold rate accept no additional element, so none
+    // is sent where it would state nothing.
+    write_header(to, message_kind::offer, it.warm_up ? 20 : 19);
     write_field(to, it.call);
     to.text(it.upstream.value());
     to.text(it.request_id.value());
@@ -200,6 +229,10 @@
     to.text(it.http_request.target);
     write_field(to, it.http_request.headers);
     to.text(it.body_follows ? std::string_view() : it.http_request.body);
+    if (it.warm_up)
+    {
+        write_field(to, *it.warm_up);
+    }
 }
 
 void write_message(frame_writer& to, body_request const& it)
@@ -292,6 +325,13 @@
     it.http_request.target = from.text();
     it.http_request.headers = read_headers(from);
     it.http_request.body = from.text();
+    // An older version does not send the elements that follow.
+    if (from.remaining() > 0)
+    {
+        it.warm_up = read_warm_up(from);
+    }
+    // A newer version may append elements.
+    from.ignore_rest();
     return it;
 }
 
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -8,6 +8,7 @@
 #ifndef YUCCAFALL_PEERS_MESSAGES_HPP
 #define YUCCAFALL_PEERS_MESSAGES_HPP
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -15,6 +16,7 @@
 #include "core/error.hpp"
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "core/warm_up_limits.hpp"
 #include "http/message.hpp"
 #include "routing/configuration.hpp"
 
@@ -51,6 +53,9 @@
     // What the caller's node knows of the worker's rate. A receiver that has
     // restarted knows less, and keeps to it until the worker responds.
     core::stated_rate rate;
+    // The cold rate of the upstream's service as the caller's node knows it. A
+    // receiver that has restarted may not have a configuration yet.
+    std::optional<core::warm_up_limits> warm_up;
     // Size of the whole body, whether this message contains it or not.
     core::byte_count body_size;
     // The request without the hop-by-hop fields of the caller's connection.
--- a/src/transport/msgpack_io.hpp
+++ b/src/transport/msgpack_io.hpp
@@ -61,6 +61,9 @@
     std::size_t remaining() const { return remaining_; }
     void fail() { *good_ = false; }
 
+    // Skips the elements that have not been read.
+    void ignore_rest() { remaining_ = 0; }
+
     // Fails if elements are left that have not been read.
     void expect_end()
     {
--- a/src/upstream/counters.hpp
+++ b/src/upstream/counters.hpp
@@ -22,6 +22,14 @@
     // The limit that the worker states, in thousandths of a request a second,
     // or 0 if it states none.
     core::counter rate_limit{0};
+    // Calls that were started or refused after they had waited, or would have
+    // had to wait, because the worker is or may be cold.
+    core::counter cold_waited{0};
+    core::counter cold_refused{0};
+    core::counter health_requests{0};
+    // The cold rate in force, in thousandths of a request a second, or 0 if
+    // there is none.
+    core::counter cold_rate{0};
 };
 
 } // namespace yuccafall::upstream
--- a/src/upstream/load_publisher.cpp
+++ b/src/upstream/load_publisher.cpp
@@ -2,7 +2,6 @@
 #include "upstream/load_publisher.hpp"
 
 #include <utility>
-#include <variant>
 
 #include "peers/messages.hpp"
 
@@ -23,11 +22,18 @@
     return it.running.value() + it.waiting.value();
 }
 
-// A worker that limits its rate may have free slots that no call can use.
+// A worker that limits its rate, or that is or may be cold, may have free slots
+// that no call can use.
 bool is_nearly_full(balancing::load_report const& it)
 {
     return open_calls(it) + nearly_full_margin >= it.slots.value() ||
-           std::holds_alternative<core::rate_limited>(it.rate);
+           core::limit_of(it.rate) || core::limit_of(it.cold_rate);
+}
+
+bool differ(balancing::load_report const& a, balancing::load_report const& b)
+{
+    return open_calls(a) != open_calls(b) ||
+           core::limit_of(a.cold_rate) != core::limit_of(b.cold_rate);
 }
 
 } // namespace
@@ -56,7 +62,7 @@
 {
     auto const now = core::boot_clock::now();
     auto const current = load_();
-    if (scheduled_ || open_calls(current) == open_calls(last_sent_) ||
+    if (scheduled_ || !differ(current, last_sent_) ||
         (!is_nearly_full(current) && !is_nearly_full(last_sent_)))
     {
         return;
--- a/src/upstream/local_workers.hpp
+++ b/src/upstream/local_workers.hpp
@@ -24,6 +24,9 @@
     // The operator has asked that nothing more be sent to the workers of this
     // worker's data centre.
     bool evacuated = false;
+    // How much longer the worker is cold, as its entry states it. The entry may
+    // be seconds old.
+    core::milliseconds cold_remaining{0};
 };
 
 class local_workers
--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 
 #include "core/overloaded.hpp"
 
@@ -21,6 +22,33 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// A response that breaks off is invalid too, and is not told apart here from
+// one that the worker has written wrongly.
+bool is_connection_loss(http::failure_cause it)
+{
+    return it == http::failure_cause::closed_without_response ||
+           it == http::failure_cause::invalid_response;
+}
+
+health_outcome
+classify_health_response(http::response const& response,
+                         metadata::header_codec const& header_codec)
+{
+    constexpr int first_status_not_successful = 300;
+    if (response.status >= first_status_not_successful)
+    {
+        return health_unavailable{
+            fmt::format("the worker reports status {}", response.status)};
+    }
+    auto const cold_remaining =
+        header_codec.read_response_metadata(response).cold_remaining;
+    if (!cold_remaining)
+    {
+        return health_unavailable{"the worker's cold time cannot be read"};
+    }
+    return health_response{*cold_remaining};
+}
+
 } // namespace
 
 worker_outcome classify_response(http::response response,
@@ -74,6 +102,7 @@
         {
             return std::move(it.connection);
         }
+        idle_connection_lost_ = idle_connection_lost_ || it.expires_at > now;
         it.connection->close();
     }
     return nullptr;
@@ -137,7 +166,10 @@
          done = std::move(done)](http::exchange_result it) {
             if (!it)
             {
-                done(worker_failed{it.error().cause, it.error().detail, {}});
+                done(worker_failed{it.error().cause,
+                                   it.error().detail,
+                                   {},
+                                   is_connection_loss(it.error().cause)});
                 return;
             }
             if (it->keep_alive)
@@ -184,6 +216,64 @@
                         });
 }
 
+void worker_client::request_health(std::string const& path,
+                                   std::function<void(health_outcome)> done)
+{
+    http::request request;
+    request.method = "GET";
+    request.target = path;
+    request.headers = {{"Host", core::to_string(endpoint_)}};
+    auto const connection =
+        std::make_shared<http::client_connection>(context_.get_executor());
+    connection->connect(
+        endpoint_, settings_.connect_timeout,
+        [self = shared_from_this(), connection,
+         bytes = http::serialize(request),
+         done = std::move(done)](core::result<void> const& connected) mutable {
+            if (!connected)
+            {
+                done(health_unavailable{connected.error().detail});
+                return;
+            }
+            http::exchange_options options;
+            options.timeout = self->settings_.health_timeout;
+            options.sizes.body = self->settings_.max_response_body;
+            connection->exchange(
+                std::move(bytes), std::move(options),
+                [self, connection,
+                 done = std::move(done)](http::exchange_result it) {
+                    if (!it)
+                    {
+                        done(health_unavailable{it.error().detail});
+                        return;
+                    }
+                    auto outcome =
+                        classify_health_response(*it, self->header_codec_);
+                    if (it->keep_alive)
+                    {
+                        self->keep_idle_connection(
+                            connection,
+                            self->header_codec_.read_response_metadata(*it));
+                    }
+                    done(std::move(outcome));
+                });
+        });
+}
+
+bool worker_client::discard_lost_idle_connections()
+{
+    auto const now = core::boot_clock::now();
+    bool lost = std::exchange(idle_connection_lost_, false);
+    while (!idle_connections_.empty() &&
+           !idle_connections_.back().connection->reusable())
+    {
+        lost = lost || idle_connections_.back().expires_at > now;
+        idle_connections_.back().connection->close();
+        idle_connections_.pop_back();
+    }
+    return lost;
+}
+
 void worker_client::close()
 {
     for (auto const& it : idle_connections_)
--- a/src/upstream/worker_client.hpp
+++ b/src/upstream/worker_client.hpp
@@ -42,11 +42,28 @@
     http::failure_cause cause;
     std::string reason;
     std::optional<admission::worker_load> load;
+    // True if the connection was closed or reset, and not by this node, or if
+    // the response is not valid HTTP.
+    bool connection_lost = false;
 };
 // How a request to the worker ended.
 using worker_outcome = std::variant<worker_answered, worker_rejected,
                                     worker_unreachable, worker_failed>;
 
+// The worker's health response.
+struct health_response
+{
+    // How much longer the worker is cold, or zero.
+    core::milliseconds cold_remaining{0};
+};
+// No response arrived, or it states that the worker is ill, or it cannot be
+// read.
+struct health_unavailable
+{
+    std::string reason;
+};
+using health_outcome = std::variant<health_response, health_unavailable>;
+
 // Returns the outcome of a request whose response has arrived completely.
 worker_outcome classify_response(http::response response,
                                  metadata::header_codec const& header_codec);
@@ -54,6 +71,8 @@
 struct worker_client_settings
 {
     core::milliseconds connect_timeout{600};
+    // Time for a health response, which the worker gives without waiting.
+    core::milliseconds health_timeout{600};
     // An idle connection is kept for this long if the worker states no
     // keep-alive time.
     core::milliseconds default_keep_alive{4'000};
@@ -103,6 +122,18 @@
     // it.
     void probe(std::function<void(bool)> done);
 
+    // Requests a health response over a new connection, so that the response
+    // comes from the worker that accepts connections now and cannot be a late
+    // one to another request. The handler is called asynchronously.
+    void request_health(std::string const& path,
+                        std::function<void(health_outcome)> done);
+
+    // Discards the idle connections that cannot be used again, up to the one
+    // that would be used next. Returns whether the worker has closed a
+    // connection since the last call of this function that had not been idle
+    // for long. A worker that crashes closes all its connections.
+    bool discard_lost_idle_connections();
+
     void close();
 
 private:
@@ -127,6 +158,8 @@
     worker_client_settings settings_;
     // Invariant: the most recently used connection is at the back.
     std::deque<idle_connection> idle_connections_;
+    // True if the worker has closed a connection that was to be used.
+    bool idle_connection_lost_ = false;
 };
 
 } // namespace yuccafall::upstream
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -77,12 +77,6 @@
     return "unknown";
 }
 
-std::optional<core::millihertz> limit_of(core::stated_rate const& it)
-{
-    auto const* limited = std::get_if<core::rate_limited>(&it);
-    return limited == nullptr ? std::nullopt : std::optional(limited->limit);
-}
-
 // Returns whether a statement about a worker's rate replaces the one in use.
 // `is_known` states whether the worker has told its rate to this process.
 bool may_apply(core::stated_rate const& rate, rate_source source, bool is_known)
@@ -94,10 +88,10 @@
     case rate_source::rejection:
         // Only the response to a call that has run ends a limit, since a
         // rejection may come from a part of the worker that states none.
-        return limit_of(rate).has_value();
+        return core::limit_of(rate).has_value();
     case rate_source::offer:
         // Other nodes repeat what the worker stated to an earlier process.
-        return limit_of(rate).has_value() && !is_known;
+        return core::limit_of(rate).has_value() && !is_known;
     }
     return false;
 }
@@ -115,6 +109,11 @@
           context, settings.worker_endpoint, header_codec,
           client_settings_of(settings))),
       queue_(queue_settings_of(settings)),
+      warm_up_(std::make_shared<worker_warm_up>(
+          context, worker_client_, counters,
+          [this](admission::cold_rate_changed const& it) {
+              handle_event(it);
+          })),
       load_publisher_(
           std::make_shared<load_publisher>(context, [this] { return load(); })),
       local_runs_(settings.local_runs), crash_detector_(settings.incarnation),
@@ -164,6 +163,7 @@
         return;
     }
     update_rate(call.offer.upstream, call.offer.rate, rate_source::offer);
+    warm_up_->record_offer(call.offer.warm_up);
     admission::job job;
     job.call = key;
     job.route = call.offer.route;
@@ -245,6 +245,7 @@
 void worker_owner::set_workers(std::vector<listed_worker> const& workers)
 {
     workers_.set(workers);
+    warm_up_->set_workers(workers);
     for (auto const& it : workers)
     {
         if (!it.draining && it.slots != queue_.slots())
@@ -309,6 +310,7 @@
 void worker_owner::close()
 {
     queue_timer_.cancel();
+    warm_up_->close();
     load_publisher_->close();
     worker_client_->close();
 }
@@ -321,6 +323,7 @@
         apply(a);
     }
     set_queue_timer();
+    warm_up_->set_calls_wait(queue_.waiting() > 0);
     load_publisher_->publish();
 }
 
@@ -337,6 +340,10 @@
 
 void worker_owner::apply(admission::start_call const& it)
 {
+    if (it.waited_for_cold_rate)
+    {
+        core::add(counters_->cold_waited);
+    }
     start_run(it.call, calls_.at(it.call));
 }
 
@@ -346,6 +353,10 @@
     auto const call = std::move(found->second);
     calls_.erase(found);
     call_keys_.erase({call.session, call.offer.call});
+    if (it.due_to_cold_rate)
+    {
+        core::add(counters_->cold_refused);
+    }
     refuse(call, it.kind, it.retry_after, false);
 }
 
@@ -436,6 +447,9 @@
     calls_.erase(found);
     call_keys_.erase({call.session, call.offer.call});
     local_runs_->record_end(call.offer.is_repeat);
+    // The end of this run may start other calls, which must not go to a worker
+    // that counts as warm if this run shows that it may be another one.
+    record_contact(outcome, call.canceled);
 
     bool const completed = std::holds_alternative<worker_answered>(outcome);
     bool const rejected = std::holds_alternative<worker_rejected>(outcome);
@@ -496,8 +510,8 @@
         return;
     }
     rate_stated_by_ = upstream;
-    auto const limit = limit_of(rate);
-    bool const changed = limit != limit_of(queue_.stated_rate());
+    auto const limit = core::limit_of(rate);
+    bool const changed = limit != core::limit_of(queue_.stated_rate());
     handle_event(admission::rate_stated{rate});
     if (!changed)
     {
@@ -512,6 +526,35 @@
          {"source", name_of(source)}});
 }
 
+void worker_owner::record_contact(worker_outcome const& outcome, bool canceled)
+{
+    using admission::warm_up_source;
+    std::visit(
+        core::overloaded{
+            [&](worker_answered const&) { warm_up_->record_response(); },
+            [&](worker_rejected const& it) {
+                if (it.metadata.wrong_worker)
+                {
+                    warm_up_->record_doubt(warm_up_source::worker_replaced);
+                    return;
+                }
+                warm_up_->record_response();
+            },
+            [&](worker_unreachable const&) {
+                if (!canceled)
+                {
+                    warm_up_->record_doubt(warm_up_source::worker_unreachable);
+                }
+            },
+            [&](worker_failed const& it) {
+                if (it.connection_lost)
+                {
+                    warm_up_->record_doubt(warm_up_source::connection_lost);
+                }
+            }},
+        outcome);
+}
+
 void worker_owner::update_rejection_share(bool rejected)
 {
     rejection_share_ +=
@@ -639,6 +682,7 @@
     report.rejection_share =
         core::percentage(static_cast<std::uint32_t>(rejection_share_ * 100));
     report.rate = queue_.stated_rate();
+    report.cold_rate = queue_.cold_rate();
     return report;
 }
 
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -30,6 +30,7 @@
 #include "upstream/load_publisher.hpp"
 #include "upstream/local_workers.hpp"
 #include "upstream/worker_client.hpp"
+#include "upstream/worker_warm_up.hpp"
 
 namespace yuccafall::upstream {
 
@@ -85,6 +86,8 @@
     void on_session_closed(session_id closed_session);
 
     void set_workers(std::vector<listed_worker> const& workers);
+    // Sets what the configuration in force states of the worker's service.
+    void set_service(routing::service const& it) { warm_up_->set_service(it); }
     // Sets the requests that were running when a worker of any node crashed.
     void set_suspects(std::set<poison::fingerprint> suspects);
 
@@ -128,6 +131,8 @@
     void apply(admission::call_lost const& it);
     void handle_event(admission::event const& it);
     void set_queue_timer();
+    // Records what the end of a run shows of the worker's warm-up.
+    void record_contact(worker_outcome const& outcome, bool canceled);
 
     void start_run(call_key const& key, call_entry& call);
     void on_run_ended(call_key const& key, worker_outcome outcome);
@@ -160,6 +165,7 @@
     metadata::header_codec header_codec_;
     std::shared_ptr<worker_client> worker_client_;
     admission::slot_queue queue_;
+    std::shared_ptr<worker_warm_up> warm_up_;
     local_workers workers_;
     std::map<call_key, call_entry> calls_;
     // Maps the call id that a session uses to the key of the call.
