--- a/src/admission/queue_messages.hpp
+++ b/src/admission/queue_messages.hpp
@@ -117,7 +117,7 @@
 {
     core::stated_rate rate;
     // When the worker's cold time ends, if it is known.
-    std::optional<core::instant> ends_at;
+    std::optional<core::instant> ends_at = std::nullopt;
 };
 // The worker rejected a call although the queue counted a free slot.
 struct call_rejected
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -545,6 +545,42 @@
             call_numbers{2});
 }
 
+// Guards against a low cold rate that the longest interval of stated rates
+// would raise, and against metrics that miss the calls that it held back.
+TEST_CASE("a cold rate below one call in two seconds is kept to")
+{
+    fixture f(6);
+    f.queue->handle(
+        cold_rate_changed{core::rate_limited{core::millihertz(100)}}, at(0));
+    REQUIRE(started(f.offer(1, 0, {1, 500, 30'000})) == call_numbers{1});
+    REQUIRE(f.offer(2, 10, {1, 20'000, 30'000}).empty());
+    f.end(1, 50);
+    REQUIRE(started(f.queue->handle(timer_expired{}, at(9'990))).empty());
+    auto const later = f.queue->handle(timer_expired{}, at(10'001));
+    REQUIRE(started(later) == call_numbers{2});
+    REQUIRE(std::get<start_call>(later.front()).waited_for_cold_rate);
+}
+
+// Guards against callers that come back long before, or long after, a cold
+// worker can take their calls.
+TEST_CASE("calls that exceed the cold rate are refused until the warm-up ends")
+{
+    fixture f(2);
+    f.queue->handle(
+        cold_rate_changed{core::rate_limited{core::millihertz(1'000)}, at(900)},
+        at(0));
+    REQUIRE(started(f.offer(1, 0)) == call_numbers{1});
+    auto const late = refusals(f.offer(2, 10, {1, 200, 300}));
+    REQUIRE(late.size() == 1);
+    REQUIRE(late.front().due_to_cold_rate);
+    REQUIRE(late.front().retry_after > milliseconds(700));
+    REQUIRE(late.front().retry_after <= milliseconds(890));
+    // This one can wait, and starts as soon as the worker is warm.
+    REQUIRE(f.offer(3, 20, {1, 2'000, 3'000}).empty());
+    REQUIRE(started(f.queue->handle(cold_rate_changed{}, at(500))) ==
+            call_numbers{3});
+}
+
 // Pattern: exports of 90 kB from workers whose links carry 11 Mbit/s
 // (further-grown). The slots were free, the links were full, and all exports
 // came late.
--- a/src/admission/tests/warm_up_monitor_test.cpp
+++ b/src/admission/tests/warm_up_monitor_test.cpp
@@ -317,6 +317,7 @@
     {
         core::call_id call;
         core::instant ends_at;
+        bool is_unreachable = false;
     };
     struct response
     {
@@ -350,6 +351,12 @@
         {
             auto const it = running_.front();
             running_.pop_front();
+            if (it.is_unreachable)
+            {
+                handle(state_doubted{warm_up_source::worker_unreachable});
+                handle(run_ended{it.call, run_result::incomplete});
+                continue;
+            }
             handle(call_answered{});
             handle(run_ended{it.call, run_result::completed});
         }
@@ -404,7 +411,7 @@
     {
         if (is_away())
         {
-            running_.push_back({call, now_});
+            running_.push_front({call, now_, true});
             return;
         }
         bool const is_cold = now_ < cold_until_;
@@ -454,7 +461,7 @@
             auto const number = *rc::gen::inRange(0, 1'000);
             switch (*rc::gen::weightedElement<int>({{10, 0},
                                                     {10, 1},
-                                                    {1, 2},
+                                                    {3, 2},
                                                     {1, 3},
                                                     {1, 4},
                                                     {2, 5},
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -181,6 +181,25 @@
     REQUIRE(f.count_calls(upstreams, 400).count("x") == 1);
 }
 
+// Guards against nodes that send a cold worker, whose slots are free, as many
+// calls as the others get, and against nodes that send it none.
+TEST_CASE("a cold worker gets calls as its cold rate allows")
+{
+    fixture f;
+    load_report cold;
+    cold.slots = core::slot_count(6);
+    cold.cold_rate = core::rate_limited{core::millihertz(16'000)};
+    f.scores->record_report(core::upstream_id("x"), cold, at(0));
+    auto const upstreams = std::vector{make_upstream("x"), make_upstream("y")};
+    REQUIRE(f.count_calls(upstreams, 1)["x"] > 50);
+    for (int i = 0; i < 3; ++i)
+    {
+        f.scores->record_sent(core::upstream_id("x"), at(2));
+        f.scores->record_sent(core::upstream_id("y"), at(2));
+    }
+    REQUIRE(f.count_calls(upstreams, 3)["x"] == 0);
+}
+
 // Guards against a burst of calls to the worker whose last report was good:
 // calls sent since that report must count as load.
 TEST_CASE("calls that a report does not include are added to it")
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -27,6 +27,7 @@
     it.relative_service_time = core::percentage(120);
     it.rejection_share = core::percentage(7);
     it.rate = core::rate_limited{core::millihertz(12'200)};
+    it.cold_rate = core::rate_limited{core::millihertz(16'000)};
     return it;
 }
 
@@ -89,6 +90,51 @@
     check_round_trip(pong{});
 }
 
+// Guards against an owner node that restarts and does not learn the cold rate
+// from offers, and against one that cannot read the offers of other versions.
+TEST_CASE("an offer states the cold rate if the service has one")
+{
+    auto it = make_offer();
+    auto const without = decode(encode(it));
+    REQUIRE(without);
+    REQUIRE_FALSE(std::get<offer>(*without).warm_up);
+    it.warm_up = core::warm_up_limits{core::millihertz(17'500),
+                                      core::milliseconds(3'000)};
+    check_round_trip(it);
+    auto bytes = encode(it);
+    auto const with = decode(bytes);
+    REQUIRE(std::get<offer>(*with).warm_up == it.warm_up);
+    // The frame is an array with a 16-bit length. A newer version appends a
+    // number.
+    REQUIRE(bytes.substr(0, 3) == std::string("\xdc\x00\x15", 3));
+    bytes[2] = '\x16';
+    bytes += '\x07';
+    auto const newer = decode(bytes);
+    REQUIRE(newer);
+    REQUIRE(std::get<offer>(*newer).warm_up == it.warm_up);
+}
+
+// Guards against a rolling update in which load reports without the cold rate
+// end the connection to each node of the previous version.
+TEST_CASE("a load report of an earlier version states no cold rate")
+{
+    auto report = make_load_report();
+    report.cold_rate = core::rate_unknown{};
+    // The report is the last element and an array of 11, of which the last is
+    // an empty array.
+    auto bytes = encode(load_update{core::upstream_id("i"), report});
+    auto const at = bytes.find('\x9b');
+    REQUIRE(at != std::string::npos);
+    REQUIRE(bytes.back() == '\x90');
+    bytes[at] = '\x9a';
+    bytes.pop_back();
+    auto const older = decode(bytes);
+    REQUIRE(older);
+    auto const& load = std::get<load_update>(*older).load;
+    REQUIRE_FALSE(core::limit_of(load.cold_rate));
+    REQUIRE(core::limit_of(load.rate) == core::millihertz(12'200));
+}
+
 // Guards against a truncated frame that is decoded as a message.
 TEST_CASE("a truncated frame is rejected")
 {
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <set>
+#include <map>
 
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
@@ -99,6 +99,7 @@
         options.service = it.options.service;
         options.slots = it.options.slots;
         options.service_time = it.options.service_time;
+        options.cold_time = it.options.cold_time;
         it.worker = std::make_unique<fake_worker>(
             core::endpoint{it.address, ports_[worker_port].port()}, options);
         vms_.push_back(std::move(it));
@@ -144,7 +145,7 @@
 {
     version_ += 2;
     auto paths = json::array();
-    std::set<std::string> service_names;
+    std::map<std::string, double> cold_rates;
     for (auto const& it : routes)
     {
         paths.push_back({{"name", "r" + it.prefix},
@@ -155,16 +156,22 @@
                          {"priority", it.rank},
                          {"service", it.service},
                          {"max_attempts", 2}});
-        service_names.insert(it.service);
+        auto& rate = cold_rates[it.service];
+        rate = std::max(rate, it.cold_per_s);
     }
     auto services = json::array();
-    for (auto const& it : service_names)
+    for (auto const& [name, rate] : cold_rates)
     {
-        services.push_back({{"name", it},
+        services.push_back({{"name", name},
                             {"health_path", "/health"},
                             {"max_connections", 130},
                             {"protocol", "h1"},
                             {"tls", false}});
+        if (rate > 0)
+        {
+            services.back()["cold_per_s"] = rate;
+            services.back()["cold_start_s"] = 3.0;
+        }
     }
     json const document = {
         {"version", version_},
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -24,6 +24,8 @@
     std::size_t slots = 6;
     // How long the worker runs each request.
     core::milliseconds service_time{10};
+    // How long the worker is cold after it starts.
+    core::milliseconds cold_time{0};
 };
 
 struct route_options
@@ -36,6 +38,9 @@
     int target_latency_ms = 500;
     // The priority class; 0 is the most urgent.
     int rank = 1;
+    // Requests a second that a cold worker of the service takes, or 0 if its
+    // configuration states no cold rate.
+    double cold_per_s = 0;
 };
 
 // The result of one request that a caller has sent.
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// The path that the deployment's configuration states for each service.
+constexpr char health_path[] = "/health";
+
 std::string header_value(http::request const& it, char const* name)
 {
     auto const* value = http::find_header(it.headers, name);
@@ -49,6 +52,8 @@
     }
     server_ = std::move(*it);
     local_ = server_->local();
+    cold_until_ = core::boot_clock::now() + options_.cold_time;
+    last_cold_arrivals_.clear();
 }
 
 void fake_worker::set_fault(worker_fault fault)
@@ -101,6 +106,11 @@
     thread_.invoke([&] { listen(); });
 }
 
+void fake_worker::set_cold_time(core::milliseconds cold_time)
+{
+    thread_.invoke([&] { options_.cold_time = cold_time; });
+}
+
 worker_counts fake_worker::counts()
 {
     return thread_.invoke([&] { return counts_; });
@@ -125,8 +135,43 @@
     return it;
 }
 
+http::response fake_worker::make_health_response() const
+{
+    http::response it;
+    it.status = 200;
+    it.headers = {{"Instance-Id", options_.id}};
+    add_statements(it);
+    if (is_cold())
+    {
+        auto const remaining = std::chrono::duration_cast<core::milliseconds>(
+            cold_until_ - core::boot_clock::now());
+        it.headers.push_back(
+            {"Cold-Ms", fmt::format("{}", remaining.count() + 1)});
+    }
+    return it;
+}
+
+void fake_worker::record_cold_arrival()
+{
+    auto const now = core::boot_clock::now();
+    ++counts_.cold_arrivals;
+    last_cold_arrivals_.push_back(now);
+    while (last_cold_arrivals_.front() <= now - std::chrono::seconds(1))
+    {
+        last_cold_arrivals_.pop_front();
+    }
+    counts_.most_cold_arrivals_in_a_second = std::max(
+        counts_.most_cold_arrivals_in_a_second, last_cold_arrivals_.size());
+}
+
 void fake_worker::handle(connection const& caller, http::request const& it)
 {
+    if (it.target == health_path)
+    {
+        ++counts_.health_requests;
+        caller->send_response(make_health_response());
+        return;
+    }
     ++counts_.arrivals;
     auto const id = header_value(it, "Attempt-Id");
     auto const target_instance = header_value(it, "Target-Instance");
@@ -135,6 +180,10 @@
         caller->send_response(make_rejection(421, id));
         return;
     }
+    if (is_cold())
+    {
+        record_cold_arrival();
+    }
     if (!rate_limit_.empty())
     {
         counts_.limits.back().arrivals.push_back(core::boot_clock::now());
@@ -158,7 +207,7 @@
     ++running_;
     counts_.max_running = std::max(counts_.max_running, running_);
     auto const timer = std::make_shared<boost::asio::steady_timer>(
-        thread_.context(), options_.service_time);
+        thread_.context(), options_.service_time * (is_cold() ? 2 : 1));
     auto const disconnected = std::make_shared<bool>(false);
     caller->on_disconnect([this, timer, disconnected] {
         *disconnected = true;
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -5,6 +5,7 @@
 #define YUCCAFALL_STAND_INS_FAKE_WORKER_HPP
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,6 +25,8 @@
     std::size_t slots = 6;
     // How long the worker runs each request.
     core::milliseconds service_time{10};
+    // How long the worker is cold after it starts.
+    core::milliseconds cold_time{0};
 };
 
 enum class worker_fault
@@ -61,6 +64,11 @@
     std::size_t max_running = 0;
     std::uint64_t canceled = 0;
     std::vector<limit_episode> limits;
+    std::uint64_t health_requests = 0;
+    // Requests that arrived while the worker was cold, and the largest number
+    // of them in any one second. Those meant for another worker do not count.
+    std::uint64_t cold_arrivals = 0;
+    std::size_t most_cold_arrivals_in_a_second = 0;
 };
 
 class fake_worker
@@ -79,7 +87,10 @@
     void set_leaving(bool leaving);
     // Closes all connections and accepts no more until restart() is called.
     void crash();
+    // The worker is cold after that for the time of its options, or the time
+    // that was set since.
     void restart();
+    void set_cold_time(core::milliseconds cold_time);
     worker_counts counts();
 
 private:
@@ -87,6 +98,9 @@
 
     void listen();
     void handle(connection const& caller, http::request const& it);
+    bool is_cold() const { return core::boot_clock::now() < cold_until_; }
+    void record_cold_arrival();
+    http::response make_health_response() const;
     void finish_request(connection const& caller, std::string const& id);
     // The id is that of the request that is rejected, or empty.
     http::response make_rejection(int status, std::string const& id = {}) const;
@@ -106,6 +120,9 @@
     bool leaving_ = false;
     worker_counts counts_;
     std::size_t running_ = 0;
+    core::instant cold_until_{};
+    // When requests arrived in the last second, while the worker was cold.
+    std::deque<core::instant> last_cold_arrivals_;
 };
 
 } // namespace yuccafall::stand_ins
