--- a/src/admission/warm_up_monitor.cpp
+++ b/src/admission/warm_up_monitor.cpp
@@ -8,6 +8,18 @@
 
 namespace yuccafall::admission {
 
+namespace {
+
+// Returns whether the worker may be cold at the moment of the doubt. After the
+// other causes it is cold only once it has returned from a crash.
+bool takes_effect_at_once(warm_up_source it)
+{
+    return it == warm_up_source::evacuation_ended ||
+           it == warm_up_source::worker_replaced;
+}
+
+} // namespace
+
 std::string_view name_of(warm_up_source it)
 {
     switch (it)
@@ -146,6 +158,11 @@
         return;
     }
     doubt_ = it.cause;
+    if (takes_effect_at_once(it.cause))
+    {
+        trusted_until_ = {};
+        response_outdated_ = request_under_way_;
+    }
     apply_doubt(now, out);
 }
 
@@ -208,7 +225,7 @@
     trusted_until_ =
         requested_at_.value_or(now) + settings_.min_request_interval;
     bool const is_cold = it.cold_remaining > core::milliseconds(0);
-    if (doubt_ && (is_cold || now >= trusted_until_))
+    if (doubt_ && (is_cold || response_outdated_ || now >= trusted_until_))
     {
         // The response may be from before the doubt.
         doubt_.reset();
@@ -261,6 +278,7 @@
     requested_at_ = now;
     request_under_way_ = true;
     request_wanted_ = false;
+    response_outdated_ = false;
     doubt_.reset();
     out.emplace_back(request_health{});
 }
--- a/src/admission/warm_up_monitor.hpp
+++ b/src/admission/warm_up_monitor.hpp
@@ -129,8 +129,9 @@
 struct warm_up_settings
 {
     // Health requests are sent at least this far apart. Also how long the
-    // worker counts as warm after it was asked and stated no cold time: a
-    // worker that crashes takes longer than this to return.
+    // worker counts as warm after it was asked and stated no cold time, even if
+    // its connections are lost: a worker that crashes takes longer than this to
+    // return.
     core::milliseconds min_request_interval{300};
     // A warm worker that has answered no call for this long is in doubt. It may
     // have crashed unnoticed, because no connection to it was in use.
@@ -202,6 +203,9 @@
     // When the most recent health request was sent.
     std::optional<core::instant> requested_at_;
     bool request_under_way_ = false;
+    // A doubt arose while the request was under way, so that its response may
+    // be from before the worker became cold.
+    bool response_outdated_ = false;
     // A health request is to be sent as soon as one is allowed.
     bool request_wanted_ = false;
 };
