--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -383,7 +383,8 @@
 bool control_plane::changes_local_warm_up(
     membership::worker_entry const& entry) const
 {
-    if (!view_ || entry.address != settings_.worker)
+    if (!view_ || !view_->local_service || !view_->local_service->warm_up ||
+        entry.address != settings_.worker)
     {
         return false;
     }
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -69,7 +69,8 @@
     void apply_worker_entry(core::upstream_id const& id,
                             replication::store_item const& it);
     // Returns whether the entry is of the local worker and states, unlike the
-    // published view, that it is cold or that it is not.
+    // published view, that it is cold or that it is not. Always false if its
+    // service has no cold rate.
     bool changes_local_warm_up(membership::worker_entry const& entry) const;
     void update_directory(membership::directory_event const& it);
     // Publishes a new view to the traffic thread if the last one is outdated.
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -115,7 +115,8 @@
     std::filesystem::remove_all(directory_, ignored);
 }
 
-void deployment::publish_worker(std::size_t vm, std::string const& state)
+void deployment::publish_worker(std::size_t vm, std::string const& state,
+                                core::milliseconds cold_remaining)
 {
     auto const& it = vms_[vm];
     json const entry = {{"service", it.options.service},
@@ -125,7 +126,7 @@
                         {"slots", it.options.slots},
                         {"state", state},
                         {"born", it.worker_start},
-                        {"cold_left_ms", 0},
+                        {"cold_left_ms", cold_remaining.count()},
                         {"sequence", 1}};
     store_->put("servers/" + it.worker->options().id, entry.dump());
 }
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -74,7 +74,8 @@
     // Publishes a new configuration and returns its version. The first version
     // is 2 and each later one is 2 higher.
     std::uint64_t publish(std::vector<route_options> const& routes);
-    void publish_worker(std::size_t vm, std::string const& state = "ready");
+    void publish_worker(std::size_t vm, std::string const& state = "ready",
+                        core::milliseconds cold_remaining = {});
     // Publishes the worker as one that has started again under its id.
     void publish_restarted_worker(std::size_t vm);
     void remove_worker(std::size_t vm);
--- a/stand_ins/tests/cold_worker_test.cpp
+++ b/stand_ins/tests/cold_worker_test.cpp
@@ -44,6 +44,7 @@
         constexpr int callers = 12;
         std::atomic<int> served{0};
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int i = 0; i < callers; ++i)
         {
             threads.emplace_back([&, i] {
@@ -136,3 +137,25 @@
     REQUIRE(fleet.wait_for_log(0, "state=warm source=health_response"));
     REQUIRE(fleet.worker(0).counts().health_requests == 1);
 }
+
+// Guards against a worker that becomes cold again without a visible reason and
+// keeps its full rate although its entry in the store shows it.
+TEST_CASE("an entry that becomes cold causes one health request")
+{
+    cold_deployment fleet(core::milliseconds(0), cold_per_s);
+    REQUIRE(fleet.call(1, deployment::request("/look/", "first")).status ==
+            200);
+    REQUIRE(fleet.wait_for_log(0, "state=warm source=health_response"));
+    fleet.publish_worker(0, "ready", core::milliseconds(900));
+    REQUIRE(fleet.wait_for_log(0, "state=unknown source=entry"));
+    // A further heartbeat that states a cold time is no news.
+    fleet.publish_worker(0, "ready", core::milliseconds(400));
+    for (int i = 0; i < 1'000 && fleet.worker(0).counts().health_requests < 2;
+         ++i)
+    {
+        std::this_thread::sleep_for(core::milliseconds(10));
+    }
+    REQUIRE(fleet.call(1, deployment::request("/look/", "second")).status ==
+            200);
+    REQUIRE(fleet.worker(0).counts().health_requests == 2);
+}
