--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -392,6 +392,7 @@
          {"data_centre", entry->data_centre.value()},
          {"draining", entry->state == membership::worker_state::draining},
          {"revision", it.revision.value()}});
+    view_outdated_ = view_outdated_ || changes_local_warm_up(*entry);
     update_directory(membership::entry_written{std::move(*entry), it.revision});
 }
 
@@ -417,6 +418,25 @@
          {"evacuated_data_centres", evacuations_.all().size()}});
 }
 
+// The directory ignores changes of the cold time, since all nodes see all
+// entries. Only the node beside the worker needs to know of them.
+bool control_plane::changes_local_warm_up(
+    membership::worker_entry const& entry) const
+{
+    if (!view_ || !view_->local_service || !view_->local_service->warm_up ||
+        entry.address != settings_.worker)
+    {
+        return false;
+    }
+    auto const& listed = view_->local_workers;
+    auto const found =
+        std::find_if(listed.begin(), listed.end(),
+                     [&](auto const& it) { return it.id == entry.id; });
+    constexpr core::milliseconds none{0};
+    return found != listed.end() &&
+           (found->cold_remaining > none) != (entry.warm_up_remaining > none);
+}
+
 void control_plane::update_directory(membership::directory_event const& it)
 {
     view_outdated_ =
@@ -433,6 +453,7 @@
                 .routes(routes_)
                 .workers(directory_, evacuations_, settings_.traffic.port)
                 .local_workers(directory_, evacuations_, settings_.worker)
+                .local_service(routes_, settings_.service)
                 .suspects(suspects_, core::boot_clock::now())
                 .build();
     publish_(view_);
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -71,6 +71,10 @@
                             replication::store_item const& it);
     void apply_evacuation(core::data_centre const& data_centre,
                           replication::store_item const& it);
+    // Returns whether the entry is of the local worker and states, unlike the
+    // published view, that it is cold or that it is not. Always false if its
+    // service has no cold rate.
+    bool changes_local_warm_up(membership::worker_entry const& entry) const;
     void update_directory(membership::directory_event const& it);
     // Publishes a new view to the traffic thread if the last one is outdated.
     void publish_view();
--- a/src/node/traffic_view_builder.cpp
+++ b/src/node/traffic_view_builder.cpp
@@ -40,12 +40,26 @@
             view_.local_workers.push_back(
                 {id, it.started, it.slots,
                  it.state == membership::worker_state::draining,
-                 evacuated.contains(it.data_centre)});
+                 evacuated.contains(it.data_centre), it.warm_up_remaining});
         }
     }
     return *this;
 }
 
+traffic_view_builder& traffic_view_builder::local_service(
+    std::shared_ptr<routing::route_index const> const& routes,
+    core::service_name const& name)
+{
+    if (routes)
+    {
+        auto const& services = routes->source_configuration().services;
+        auto const found = services.find(name);
+        view_.local_service =
+            found == services.end() ? routing::service() : found->second;
+    }
+    return *this;
+}
+
 traffic_view_builder&
 traffic_view_builder::suspects(poison::suspect_list const& it,
                                core::instant now)
--- a/src/node/traffic_view_builder.hpp
+++ b/src/node/traffic_view_builder.hpp
@@ -35,6 +35,11 @@
     local_workers(membership::worker_directory const& directory,
                   membership::evacuations const& evacuated,
                   core::endpoint const& local_worker);
+    // States what the configuration says of the local worker's service. Without
+    // a configuration nothing is stated.
+    traffic_view_builder&
+    local_service(std::shared_ptr<routing::route_index const> const& routes,
+                  core::service_name const& name);
     traffic_view_builder& suspects(poison::suspect_list const& it,
                                    core::instant now);
 
