--- a/stand_ins/port_reservation.cpp
+++ b/stand_ins/port_reservation.cpp
@@ -32,8 +32,6 @@
     {
         throw_errno("socket");
     }
-    int const enabled = 1;
-    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -44,6 +42,11 @@
         ::close(socket_);
         throw_errno("bind");
     }
+    // The option is set after bind(): with it, the kernel may choose a port
+    // that another test process has reserved. Without it, the process that the
+    // port is meant for could not bind to it.
+    int const enabled = 1;
+    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
     port_ = core::port_number(ntohs(address.sin_port));
 }
 
