--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -65,6 +65,14 @@
                     core::milliseconds(0));
 }
 
+std::optional<core::warm_up_limits>
+warm_up_limits_of(traffic_view const& view, core::service_name const& name)
+{
+    auto const& services = view.routes->source_configuration().services;
+    auto const found = services.find(name);
+    return found == services.end() ? std::nullopt : found->second.warm_up;
+}
+
 } // namespace
 
 call::call(std::shared_ptr<ingress> parent,
@@ -218,18 +226,6 @@
         found);
 }
 
-namespace {
-
-std::optional<core::warm_up_limits>
-warm_up_limits_of(traffic_view const& view, core::service_name const& name)
-{
-    auto const& services = view.routes->source_configuration().services;
-    auto const found = services.find(name);
-    return found == services.end() ? std::nullopt : found->second.warm_up;
-}
-
-} // namespace
-
 std::set<core::upstream_id> call::excluded_upstreams() const
 {
     auto out = tried_upstreams_;
