--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -144,12 +144,27 @@
 
 void slot_queue::refuse_excess_late_calls(core::instant now, actions& out)
 {
-    std::vector<std::pair<core::instant, core::call_id>> late;
+    // Sorts the calls to be refused first to the front. While the cold rate is
+    // in force, the least urgent ones are.
+    struct late_call
+    {
+        core::rank urgency;
+        core::instant target_time;
+        core::call_id call;
+        bool operator<(late_call const& other) const
+        {
+            return std::tie(other.urgency, target_time, call) <
+                   std::tie(urgency, other.target_time, other.call);
+        }
+    };
+    bool const is_cold = core::limit_of(cold_rate()).has_value();
+    std::vector<late_call> late;
     for (auto const& [call, it] : waiting_)
     {
         if (!it.job.nested && precedence_of(it, now).late)
         {
-            late.emplace_back(it.job.target_time, call);
+            late.push_back({is_cold ? it.job.rank : core::rank(),
+                            it.job.target_time, call});
         }
     }
     if (late.size() <= max_late_calls())
@@ -161,10 +176,11 @@
     // benefit least from a slot.
     for (std::size_t i = 0; i + max_late_calls() < late.size(); ++i)
     {
-        out.emplace_back(refuse_call{
-            late[i].second, core::error_kind::overloaded, retry_delay(now),
-            waiting_.at(late[i].second).waited_for_cold_rate});
-        remove_waiting_call(late[i].second);
+        auto const& call = late[i].call;
+        out.emplace_back(refuse_call{call, core::error_kind::overloaded,
+                                     retry_delay(now),
+                                     waiting_.at(call).waited_for_cold_rate});
+        remove_waiting_call(call);
     }
     request_bodies(now, out);
 }
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -175,7 +175,8 @@
     void remove_waiting_call(core::call_id const& call);
     std::size_t max_late_calls() const;
     // Refuses late calls in excess of max_late_calls(), those with the earliest
-    // target time first. Nested calls are neither counted nor refused.
+    // target time first, or the least urgent first while the cold rate is in
+    // force. Nested calls are neither counted nor refused.
     void refuse_excess_late_calls(core::instant now, actions& out);
     // Returns the retry delay that a refusal states.
     core::milliseconds retry_delay(core::instant now) const;
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -581,6 +581,25 @@
             call_numbers{3});
 }
 
+// Guards against urgent calls that are refused although less urgent ones wait
+// for the same cold worker.
+TEST_CASE("the least urgent calls that a cold worker cannot take are refused")
+{
+    fixture f(2);
+    f.queue->handle(
+        cold_rate_changed{core::rate_limited{core::millihertz(500)}}, at(0));
+    REQUIRE(started(f.offer(1, 0)) == call_numbers{1});
+    // The urgent one has the earlier target time, but both are late at last.
+    REQUIRE(f.offer(2, 10, {0, 2'500, 9'000}).empty());
+    REQUIRE(f.offer(3, 10, {2, 4'500, 9'000}).empty());
+    REQUIRE(f.offer(4, 10, {0, 6'500, 9'000}).empty());
+    f.queue->handle(
+        cold_rate_changed{core::rate_limited{core::millihertz(100)}}, at(20));
+    auto const late = refusals(f.queue->handle(timer_expired{}, at(4'450)));
+    REQUIRE(late.size() == 1);
+    REQUIRE(late.front().call == call(3));
+}
+
 // Pattern: exports of 90 kB from workers whose links carry 11 Mbit/s
 // (further-grown). The slots were free, the links were full, and all exports
 // came late.
