--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -18,6 +18,10 @@
 DEFINE_uint64(seeds, 1,
               "model: number of seeds; more than one compares the results "
               "with and without the rule");
+DEFINE_uint64(
+    workers, 0,
+    "model: number of workers, with the demand in proportion; 0 keeps "
+    "those of the pattern");
 DEFINE_bool(extended, false,
             "soak: kept connections, SIGHUP and workers with a limit");
 DEFINE_uint64(length_ms, 8'000, "soak: time in which faults are injected");
@@ -31,7 +35,7 @@
     {
         return yuccafall::bench::model::run_experiment(
             {FLAGS_pattern, FLAGS_without, FLAGS_seed, FLAGS_seeds,
-             FLAGS_by_second});
+             FLAGS_workers, FLAGS_by_second});
     }
     if (argc == 2 && std::string_view(argv[1]) == "soak")
     {
@@ -50,7 +54,8 @@
         fmt::print(stderr, "usage: yuccafall_bench NAME [--seed=N] "
                            "[--nodes=N]\n"
                            "       yuccafall_bench model --pattern=NAME "
-                           "[--without=RULE] [--seeds=N] [--by_second]\n"
+                           "[--without=RULE] [--seeds=N] [--workers=N] "
+                           "[--by_second]\n"
                            "       yuccafall_bench soak [--seed=N] [--nodes=N] "
                            "[--length_ms=N] [--extended]\n");
         for (auto const& it : measures)
--- a/bench/model/deployment.hpp
+++ b/bench/model/deployment.hpp
@@ -37,6 +37,8 @@
     std::size_t count = 0;
     // Probability that a request makes these calls.
     double probability = 0;
+    // The calls are made at the same time instead.
+    bool together = false;
 };
 
 struct request_kind
@@ -92,6 +94,10 @@
     // the mean rate and its period.
     double rate_amplitude = 0;
     double rate_period_s = 15;
+    // Callers' requests arrive in clumps, each at the nodes of one data centre
+    // at the same time. The size of a clump has a geometric distribution with
+    // this mean.
+    double mean_clump_size = 1;
     core::milliseconds cross_data_centre_delay{4};
     // Rate of each VM's network link, in each direction.
     core::bytes_per_second link_bandwidth{125'000'000};
@@ -101,6 +107,9 @@
     double noise_probability = 0.15;
     double noise_factor = 2.5;
     double mean_noise_spell_ms = 600;
+    // The nodes of workers also send load reports by the rules of
+    // upstream::load_publisher, and not only with responses and refusals.
+    bool publishes_load = false;
     std::vector<disturbance> disturbances;
     // Callers send new requests for this long.
     double duration_s = 20;
@@ -115,6 +124,11 @@
 
 std::vector<pattern> const& all_patterns();
 
+// Changes the number of workers to about the given one. Services keep their
+// shares of the workers, each gets at least one, and the request rate changes
+// in proportion.
+deployment resize(deployment spec, std::size_t workers);
+
 } // namespace yuccafall::bench::model
 
 #endif
--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -3,6 +3,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <numeric>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -13,6 +16,76 @@
 // Quantile of the standard normal distribution for a two-sided 95 % interval.
 constexpr double normal_quantile = 1.96;
 
+estimate estimate_mean(std::vector<double> const& samples)
+{
+    auto const n = static_cast<double>(samples.size());
+    estimate out;
+    out.mean = std::accumulate(samples.begin(), samples.end(), 0.0) / n;
+    if (samples.size() < 2)
+    {
+        return out;
+    }
+    double squared_deviations = 0;
+    for (auto const it : samples)
+    {
+        squared_deviations += (it - out.mean) * (it - out.mean);
+    }
+    out.half_interval =
+        normal_quantile * std::sqrt(squared_deviations / (n - 1) / n);
+    return out;
+}
+
+even_load_measures measure(std::vector<simulation_result> const& results)
+{
+    auto const mean_of = [&](auto const& value) {
+        std::vector<double> samples;
+        std::transform(results.begin(), results.end(),
+                       std::back_inserter(samples), value);
+        return estimate_mean(samples);
+    };
+    auto const per_offer = [&](std::uint64_t simulation_result::*count) {
+        return mean_of([count](simulation_result const& it) {
+            return static_cast<double>(it.*count) /
+                   static_cast<double>(std::max<std::uint64_t>(it.offers, 1));
+        });
+    };
+    even_load_measures out;
+    out.waits_beside_free_worker =
+        per_offer(&simulation_result::waits_beside_free_worker);
+    out.refusals_beside_free_worker =
+        per_offer(&simulation_result::refusals_beside_free_worker);
+    out.messages_per_offer = per_offer(&simulation_result::messages);
+    for (std::size_t i = 0; i < window_lengths.size(); ++i)
+    {
+        out.busiest_open_calls[i] = mean_of([i](simulation_result const& it) {
+            return it.busiest_to_mean.of_open_calls[i];
+        });
+        out.busiest_arrivals[i] = mean_of([i](simulation_result const& it) {
+            return it.busiest_to_mean.of_arrivals[i];
+        });
+    }
+    return out;
+}
+
+void print_measures(even_load_measures const& it)
+{
+    auto const text = [](estimate const& e) {
+        return fmt::format("{:.3f}±{:.3f}", e.mean, e.half_interval);
+    };
+    fmt::print("waits_beside_free={} refusals_beside_free={} "
+               "messages_per_offer={}\n",
+               text(it.waits_beside_free_worker),
+               text(it.refusals_beside_free_worker),
+               text(it.messages_per_offer));
+    for (std::size_t i = 0; i < window_lengths.size(); ++i)
+    {
+        fmt::print(
+            "window_ms={} busiest_open_calls={} busiest_arrivals={}\n",
+            shortest_window.count() * static_cast<long>(window_lengths[i]),
+            text(it.busiest_open_calls[i]), text(it.busiest_arrivals[i]));
+    }
+}
+
 void print_totals(simulation_result const& it)
 {
     for (auto const& [route, t] : it.by_route)
@@ -73,29 +146,26 @@
 comparison compare(deployment const& spec, policy const& reduced,
                    std::uint64_t first_seed, std::size_t seeds)
 {
-    comparison out;
+    std::vector<simulation_result> results;
+    std::vector<simulation_result> results_without;
     std::vector<double> gains;
+    comparison out;
     for (std::size_t i = 0; i < seeds; ++i)
     {
-        auto const worth =
-            run_simulation(spec, {}, first_seed + i).total().worth_ratio();
-        auto const worth_without =
-            run_simulation(spec, reduced, first_seed + i).total().worth_ratio();
+        results.push_back(run_simulation(spec, {}, first_seed + i));
+        results_without.push_back(
+            run_simulation(spec, reduced, first_seed + i));
+        auto const worth = results.back().total().worth_ratio();
+        auto const worth_without = results_without.back().total().worth_ratio();
         out.worth += worth / static_cast<double>(seeds);
         out.worth_without += worth_without / static_cast<double>(seeds);
         gains.push_back(worth - worth_without);
     }
-    out.gain = out.worth - out.worth_without;
-    double squared_deviations = 0;
-    for (auto const it : gains)
-    {
-        squared_deviations += (it - out.gain) * (it - out.gain);
-    }
-    auto const n = static_cast<double>(seeds);
-    out.half_interval =
-        seeds < 2
-            ? 0
-            : normal_quantile * std::sqrt(squared_deviations / (n - 1) / n);
+    auto const gain = estimate_mean(gains);
+    out.gain = gain.mean;
+    out.half_interval = gain.half_interval;
+    out.measures = measure(results);
+    out.measures_without = measure(results_without);
     return out;
 }
 
@@ -117,7 +187,9 @@
         fmt::print(stderr, "{}\n", rules ? "" : rules.error().detail.c_str());
         return 64;
     }
-    auto const spec = found->make();
+    auto const spec = options.workers == 0
+                          ? found->make()
+                          : resize(found->make(), options.workers);
     if (options.seeds > 1)
     {
         auto const it = compare(spec, *rules, options.seed, options.seeds);
@@ -125,10 +197,14 @@
                    "worth_without={:.3f} gain={:.3f} half_interval={:.3f}\n",
                    found->name, options.without, options.seeds, it.worth,
                    it.worth_without, it.gain, it.half_interval);
+        print_measures(it.measures);
+        fmt::print("without={}:\n", options.without);
+        print_measures(it.measures_without);
         return 0;
     }
     auto const it = run_simulation(spec, *rules, options.seed);
     print_totals(it);
+    print_measures(measure({it}));
     if (options.by_second)
     {
         print_seconds(it);
--- a/bench/model/experiment.hpp
+++ b/bench/model/experiment.hpp
@@ -3,6 +3,7 @@
 #ifndef YUCCAFALL_BENCH_MODEL_EXPERIMENT_HPP
 #define YUCCAFALL_BENCH_MODEL_EXPERIMENT_HPP
 
+#include <array>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,24 @@
 // empty.
 core::result<policy> policy_without(std::string_view rule);
 
+// A mean over seeds, and half the width of its 95 % confidence interval.
+struct estimate
+{
+    double mean = 0;
+    double half_interval = 0;
+};
+
+// How evenly a simulation spread the load, see simulation_result.
+struct even_load_measures
+{
+    // Shares of the offers.
+    estimate waits_beside_free_worker;
+    estimate refusals_beside_free_worker;
+    std::array<estimate, window_lengths.size()> busiest_open_calls;
+    std::array<estimate, window_lengths.size()> busiest_arrivals;
+    estimate messages_per_offer;
+};
+
 struct comparison
 {
     // Means over the seeds of the worth that callers got, relative to the
@@ -25,6 +44,9 @@
     // half the width of its 95 % confidence interval.
     double gain = 0;
     double half_interval = 0;
+    // Means over the seeds of the measures of both.
+    even_load_measures measures;
+    even_load_measures measures_without;
 };
 
 comparison compare(deployment const& spec, policy const& reduced,
@@ -38,6 +60,8 @@
     // The first seed, and the number of consecutive seeds.
     std::uint64_t seed = 1;
     std::size_t seeds = 1;
+    // The pattern is resized to this number of workers; 0 keeps its own.
+    std::size_t workers = 0;
     // Prints the results of each second as comma-separated values. This has no
     // effect with more than one seed.
     bool by_second = false;
--- a/bench/model/patterns.cpp
+++ b/bench/model/patterns.cpp
@@ -3,6 +3,10 @@
 // customer's present deployment and of one that has grown.
 #include "bench/model/deployment.hpp"
 
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
 namespace yuccafall::bench::model {
 
 namespace {
@@ -228,8 +232,121 @@
     return it;
 }
 
+// Indexes into deployment::request_kinds of make_uneven_workers().
+enum uneven_index : std::size_t
+{
+    balance_view,
+    benefit_transfer,
+    statement_pdf,
+    address_change,
+    eligibility_check,
+    contribution_history,
+};
+
+std::vector<request_kind> make_uneven_kinds()
+{
+    struct row
+    {
+        char const* name;
+        char const* service;
+        repeatability kind;
+        long timeout_ms;
+        long target_latency_ms;
+        std::uint32_t rank;
+        double service_time_ms;
+        double response_bytes;
+        double requests_per_second;
+        double worth;
+        double late_worth;
+    };
+    constexpr row rows[] = {
+        {"balance-view", "member-portal", repeatability::idempotent, 1'000, 400,
+         2, 76, 2'000, 953, 1, 0.3},
+        {"benefit-transfer", "payments-desk", repeatability::non_idempotent,
+         1'200, 500, 1, 100, 1'000, 409, 2, 0.6},
+        {"statement-pdf", "records-office", repeatability::download, 1'200, 500,
+         2, 60, 30'000, 163, 1, 0.3},
+        {"address-change", "records-office", repeatability::non_idempotent, 800,
+         300, 2, 60, 500, 111, 1, 0.3},
+        {"eligibility-check", "payments-desk", repeatability::idempotent, 250,
+         80, 2, 22, 500, 0, 0, 0},
+        {"contribution-history", "records-office", repeatability::idempotent,
+         250, 80, 2, 22, 500, 0, 0, 0},
+    };
+    std::vector<request_kind> out;
+    for (auto const& it : rows)
+    {
+        request_kind kind;
+        kind.route = make_route(it.name, it.service, it.kind, it.timeout_ms,
+                                it.target_latency_ms, it.rank);
+        kind.mean_service_time_ms = it.service_time_ms;
+        kind.service_time_sigma = 0.5;
+        kind.caller_timeout = milliseconds(it.timeout_ms);
+        kind.response_bytes = it.response_bytes;
+        kind.share = it.requests_per_second / 1'636;
+        kind.worth = it.worth;
+        kind.late_worth = it.late_worth;
+        kind.max_retries = 2;
+        out.push_back(std::move(kind));
+    }
+    out[balance_view].calls = {{eligibility_check, 2, 0.7, true}};
+    out[benefit_transfer].calls = {{contribution_history, 1, 0.7}};
+    return out;
+}
+
+// 59 VMs with a link of 21 Mbit/s each, that is, 2'625'000 bytes a second.
+deployment make_uneven_workers()
+{
+    deployment it;
+    it.data_centres = {core::data_centre("a"), core::data_centre("b"),
+                       core::data_centre("c"), core::data_centre("d")};
+    std::vector<double> const factors{0.55, 1.2, 1.2, 1.2};
+    it.services = {
+        {core::service_name("member-portal"), {8, 7, 7, 7}, factors},
+        {core::service_name("payments-desk"), {6, 6, 5, 5}, factors},
+        {core::service_name("records-office"), {2, 2, 2, 2}, factors}};
+    it.request_kinds = make_uneven_kinds();
+    it.requests_per_second = 1'636;
+    it.rate_amplitude = 0.55;
+    it.mean_clump_size = 4;
+    it.publishes_load = true;
+    it.cross_data_centre_delay = milliseconds(1);
+    it.link_bandwidth = core::bytes_per_second(2'625'000);
+    it.duration_s = 15;
+    return it;
+}
+
 } // namespace
 
+deployment resize(deployment spec, std::size_t workers)
+{
+    auto const count = [](service const& it) {
+        return std::accumulate(it.workers.begin(), it.workers.end(),
+                               std::size_t{0});
+    };
+    std::size_t previous = 0;
+    for (auto const& it : spec.services)
+    {
+        previous += count(it);
+    }
+    double const factor =
+        static_cast<double>(workers) / static_cast<double>(previous);
+    spec.requests_per_second *= factor;
+    std::size_t next_data_centre = 0;
+    for (auto& it : spec.services)
+    {
+        auto const n = std::max<std::size_t>(
+            1, static_cast<std::size_t>(
+                   std::lround(factor * static_cast<double>(count(it)))));
+        std::fill(it.workers.begin(), it.workers.end(), 0);
+        for (std::size_t i = 0; i < n; ++i)
+        {
+            ++it.workers[next_data_centre++ % it.workers.size()];
+        }
+    }
+    return spec;
+}
+
 std::vector<pattern> const& all_patterns()
 {
     static std::vector<pattern> const all{
@@ -243,6 +360,10 @@
         {"narrow-downloads",
          "89 workers behind links of 11 Mbit/s, with responses of 90 kB",
          make_narrow_downloads},
+        {"uneven-workers",
+         "59 workers whose speeds differ by a factor of two, requests in "
+         "clumps",
+         make_uneven_workers},
     };
     return all;
 }
--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -33,6 +33,14 @@
 // A larger body is sent only after the worker's node has accepted the call and
 // requested the body.
 constexpr double max_inline_body_bytes = 8'192;
+// Size on the link of a load report that is sent by itself.
+constexpr double load_update_bytes = 100;
+// These three are the constants of upstream::load_publisher: the minimum time
+// between two load reports, the time since the last offer of a node until which
+// it receives them, and the number of free slots of a nearly full worker.
+constexpr core::duration min_report_interval = milliseconds(50);
+constexpr core::duration report_subscription = milliseconds(3'000);
+constexpr std::uint32_t nearly_full_margin = 2;
 // A caller waits for at least this long before it retries a request.
 constexpr core::duration min_retry_delay = milliseconds(5);
 
@@ -171,6 +179,13 @@
     // True while an event is scheduled for the next part of a response.
     bool part_scheduled = false;
     std::map<core::call_id, offered_call> offered_calls;
+    // The nodes that receive load reports, and the time of their last offer.
+    std::map<core::upstream_id, core::instant> subscribers;
+    std::uint32_t last_published_open_calls = 0;
+    core::instant last_published_at{};
+    // True while an event is scheduled for the next load report.
+    bool report_scheduled = false;
+    std::optional<load_history> history;
     // Time of the earliest timer event that is scheduled for the queue.
     std::optional<core::instant> next_timer;
     // Service time of the worker without disturbances and noise, relative to
@@ -197,6 +212,10 @@
     simulation_result run()
     {
         started_at_ = events_.now();
+        for (auto& it : nodes_)
+        {
+            it->history.emplace(started_at_);
+        }
         for (std::size_t i = 0; i < spec_.data_centres.size(); ++i)
         {
             schedule_arrival(i);
@@ -207,10 +226,28 @@
                 ? 0
                 : total_wait_ms_ / static_cast<double>(wait_count_);
         result_.megabytes_between_data_centres = cross_data_centre_bytes_ / 1e6;
+        compare_workers();
         return std::move(result_);
     }
 
 private:
+    void compare_workers()
+    {
+        load_ratio_means means;
+        auto const windows = static_cast<std::size_t>(
+            from_ms(1000 * spec_.duration_s) / shortest_window);
+        for (auto const& [service, upstreams] : upstreams_)
+        {
+            std::vector<load_history const*> histories;
+            for (auto const& it : upstreams)
+            {
+                histories.push_back(&*nodes_by_id_.at(it.id)->history);
+            }
+            means.add(histories, windows);
+        }
+        result_.busiest_to_mean = means.result();
+    }
+
     void make_nodes()
     {
         std::size_t node_index = 0;
@@ -299,14 +336,18 @@
     void schedule_arrival(std::size_t data_centre_index)
     {
         events_.schedule_after(
-            from_ms(
-                exponential(random_, 1000 / arrival_rate(data_centre_index))),
+            from_ms(exponential(random_, 1000 * spec_.mean_clump_size /
+                                             arrival_rate(data_centre_index))),
             [this, data_centre_index] {
                 if (elapsed_s() >= spec_.duration_s)
                 {
                     return;
                 }
-                handle_arrival(data_centre_index);
+                do
+                {
+                    handle_arrival(data_centre_index);
+                } while (spec_.mean_clump_size > 1 &&
+                         random_.unit() * spec_.mean_clump_size >= 1);
                 schedule_arrival(data_centre_index);
             });
     }
@@ -548,7 +589,82 @@
         job.link_backlog = worker_node.response_pacer.backlog();
         worker_node.offered_calls.emplace(
             id, offered_call{call, has_alternative, now, {}});
+        worker_node.subscribers[call->caller_node->id] = now;
+        worker_node.history->record_arrival(now);
         handle_event(worker_node, admission::call_offered{job});
+        count_offer(worker_node, *call, id);
+    }
+
+    // Counts whether the call waits or was refused beside a free worker.
+    void count_offer(node const& worker_node, call_state const& call,
+                     core::call_id const& id)
+    {
+        ++result_.offers;
+        auto const found = worker_node.offered_calls.find(id);
+        bool const refused = found == worker_node.offered_calls.end();
+        if (!refused && found->second.started_at != core::instant{})
+        {
+            return;
+        }
+        auto const& service =
+            spec_.request_kinds[call.kind_index].route.targets.front().service;
+        auto const& upstreams = upstreams_.at(service);
+        bool const has_free_worker = std::any_of(
+            upstreams.begin(), upstreams.end(),
+            [&](balancing::upstream const& it) {
+                auto const& other = *nodes_by_id_.at(it.id);
+                return &other != &worker_node &&
+                       other.data_centre_index ==
+                           call.caller_node->data_centre_index &&
+                       other.queue.waiting() == 0 &&
+                       other.queue.running() < other.queue.slots().value();
+            });
+        result_.waits_beside_free_worker += has_free_worker && !refused ? 1 : 0;
+        result_.refusals_beside_free_worker +=
+            has_free_worker && refused ? 1 : 0;
+    }
+
+    // Sends the load of the worker by the rules of upstream::load_publisher.
+    void publish_load(node& worker_node)
+    {
+        auto const now = events_.now();
+        auto const open_calls = static_cast<std::uint32_t>(
+            worker_node.queue.running() + worker_node.queue.waiting());
+        worker_node.history->record_open_calls(open_calls, now);
+        auto const nearly_full =
+            worker_node.queue.slots().value() - nearly_full_margin;
+        if (!spec_.publishes_load || worker_node.report_scheduled ||
+            open_calls == worker_node.last_published_open_calls ||
+            std::max(open_calls, worker_node.last_published_open_calls) <
+                nearly_full)
+        {
+            return;
+        }
+        auto const next = worker_node.last_published_at + min_report_interval;
+        if (now < next)
+        {
+            worker_node.report_scheduled = true;
+            events_.schedule_at(next, [this, &worker_node] {
+                worker_node.report_scheduled = false;
+                publish_load(worker_node);
+            });
+            return;
+        }
+        worker_node.last_published_open_calls = open_calls;
+        worker_node.last_published_at = now;
+        auto const load = make_load_report(worker_node);
+        for (auto const& [id, last_offer] : worker_node.subscribers)
+        {
+            auto* to = nodes_by_id_.at(id);
+            if (to == &worker_node || now - last_offer > report_subscription)
+            {
+                continue;
+            }
+            send(worker_node, *to, load_update_bytes,
+                 [this, to, load, from = worker_node.id] {
+                     to->scores.record_report(from, load, events_.now());
+                 });
+        }
     }
 
     // Passes an event to the queue of the node, carries out the actions that
@@ -561,6 +677,7 @@
             std::visit([&](auto const& it) { execute(worker_node, it); },
                        action);
         }
+        publish_load(worker_node);
         auto const next_due = worker_node.queue.next_timer();
         if (next_due &&
             (!worker_node.next_timer || *next_due < *worker_node.next_timer))
@@ -618,33 +735,51 @@
         std::size_t nested_count = 0;
         for (auto const& calls : kind.calls)
         {
-            nested_count = random_.unit() < calls.probability ? calls.count : 0;
+            nested_count = random_.unit() < calls.probability
+                               ? (calls.together ? 1 : calls.count)
+                               : 0;
         }
         run_part(worker_node, action.call, service_time_ms, nested_count);
     }
 
     // Runs a call until its next nested call, or until its end if no nested
-    // calls are left. The remaining service time is split into equal parts: one
-    // before each nested call that is left and one after the last.
+    // calls are left. Nested calls that are made together count as one. The
+    // remaining service time is split into equal parts: one before each nested
+    // call that is left and one after the last.
     void run_part(node& worker_node, core::call_id const& id,
                   double remaining_ms, std::size_t nested_left)
     {
         auto const part_ms =
             remaining_ms / static_cast<double>(nested_left + 1);
-        events_.schedule_after(
-            from_ms(part_ms), [this, &worker_node, id, part_ms, nested_left] {
-                auto const& offered = worker_node.offered_calls.at(id);
-                if (nested_left == 0 || events_.now() >= offered.call->deadline)
-                {
-                    end_run(worker_node, id,
-                            events_.now() < offered.call->deadline);
-                    return;
-                }
-                make_nested_call(worker_node, id, part_ms, nested_left);
-            });
+        events_.schedule_after(from_ms(part_ms), [this, &worker_node, id,
+                                                  part_ms, nested_left] {
+            auto const& offered = worker_node.offered_calls.at(id);
+            if (nested_left == 0 || events_.now() >= offered.call->deadline)
+            {
+                end_run(worker_node, id,
+                        events_.now() < offered.call->deadline);
+                return;
+            }
+            auto const& calls =
+                spec_.request_kinds[offered.call->kind_index].calls.front();
+            auto const group = std::make_shared<nested_group>();
+            group->pending = calls.together ? calls.count : 1;
+            for (auto n = group->pending; n > 0; --n)
+            {
+                make_nested_call(worker_node, id, group, part_ms, nested_left);
+            }
+        });
     }
 
+    // Nested calls that are made at the same time.
+    struct nested_group
+    {
+        std::size_t pending = 0;
+        bool failed = false;
+    };
+
     void make_nested_call(node& worker_node, core::call_id const& id,
+                          std::shared_ptr<nested_group> const& group,
                           double part_ms, std::size_t nested_left)
     {
         auto const& offered = worker_node.offered_calls.at(id);
@@ -658,12 +793,17 @@
         ++result_.nested;
         auto const deadline =
             events_.now() + spec_.request_kinds[kind_index].caller_timeout;
-        call->on_end = [this, &worker_node, id, part_ms, nested_left,
+        call->on_end = [this, &worker_node, id, group, part_ms, nested_left,
                         deadline](call_outcome const& outcome) {
             bool const succeeded = outcome.status == call_status::answered &&
                                    events_.now() <= deadline;
             result_.nested_failed += succeeded ? 0 : 1;
-            if (!succeeded)
+            group->failed = group->failed || !succeeded;
+            if (--group->pending > 0)
+            {
+                return;
+            }
+            if (group->failed)
             {
                 end_run(worker_node, id, false);
                 return;
@@ -830,6 +970,7 @@
             events_.schedule_after({}, std::move(on_arrival));
             return;
         }
+        ++result_.messages;
         core::duration delay = local_delay;
         if (sender.data_centre_index != receiver.data_centre_index)
         {
--- a/bench/model/simulation.hpp
+++ b/bench/model/simulation.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "bench/model/deployment.hpp"
+#include "bench/model/load_measures.hpp"
 
 namespace yuccafall::bench::model {
 
@@ -69,6 +70,15 @@
     // slot, for the calls that got one.
     double mean_wait_ms = 0;
     double megabytes_between_data_centres = 0;
+    // Number of messages between nodes.
+    std::uint64_t messages = 0;
+    // Number of offers that reached the node of a worker, and of those that had
+    // to wait there or were refused while another worker of the service in the
+    // data centre of the caller's node had a free slot.
+    std::uint64_t offers = 0;
+    std::uint64_t waits_beside_free_worker = 0;
+    std::uint64_t refusals_beside_free_worker = 0;
+    load_ratios busiest_to_mean;
 
     request_stats total() const;
 };
