--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -133,12 +133,16 @@
     {
         it.puts_nested_first = false;
     }
+    else if (rule == "even-load")
+    {
+        it.spreads_load = false;
+    }
     else if (!rule.empty())
     {
         return core::failure(
             core::error_kind::invalid_settings,
-            "unknown rule; the rules are paced-bodies, free-slots, "
-            "nested-first");
+            "unknown rule; the rules are paced-bodies, paced-responses, "
+            "free-slots, nested-first, even-load");
     }
     return it;
 }
--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -269,6 +269,7 @@
         for (auto& it : nodes_)
         {
             it->retry_budget.set_nodes(core::node_count(nodes_.size()));
+            it->scores.set_nodes(core::node_count(nodes_.size()));
             nodes_by_data_centre_[it->data_centre_index].push_back(it.get());
         }
     }
@@ -278,6 +279,7 @@
     {
         balancing::choice_settings choice_settings;
         choice_settings.own_data_centre = spec_.data_centres[data_centre_index];
+        choice_settings.spreads_load = rules_.spreads_load;
         admission::queue_settings queue_settings;
         queue_settings.slots = spec_.slots;
         queue_settings.body_pacing.link_bandwidth =
--- a/bench/model/simulation.hpp
+++ b/bench/model/simulation.hpp
@@ -31,6 +31,9 @@
     bool prefers_free_slots = true;
     // Nested calls go ahead of callers' requests.
     bool puts_nested_first = true;
+    // Load reports are interpreted by their age, and calls are spread over the
+    // workers that seem free.
+    bool spreads_load = true;
 };
 
 // Results of callers' requests.
--- a/bench/tests/model_test.cpp
+++ b/bench/tests/model_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the model, and of the effect of each rule on the pattern for which
 // the rule was made.
+#include <numeric>
+
 #include <catch2/catch.hpp>
 
 #include "bench/model/experiment.hpp"
@@ -91,6 +93,62 @@
     REQUIRE(gain_lower_bound("crest", "nested-first", 16) > 0);
 }
 
+// All nodes choose the fastest of the workers that their outdated load reports
+// show as free. It refuses most of the calls while other workers are idle.
+TEST_CASE("spreading the load leaves fewer calls beside free workers")
+{
+    auto const it = compare(make_deployment("uneven-workers"),
+                            policy_without("even-load").value(), 1, 2);
+    auto const& with = it.measures;
+    auto const& without = it.measures_without;
+    REQUIRE(with.refusals_beside_free_worker.mean +
+                with.waits_beside_free_worker.mean <
+            without.refusals_beside_free_worker.mean +
+                without.waits_beside_free_worker.mean);
+    for (std::size_t i = 0; i < window_lengths.size(); ++i)
+    {
+        REQUIRE(with.busiest_open_calls[i].mean <
+                without.busiest_open_calls[i].mean);
+    }
+    REQUIRE(it.gain + it.half_interval >= 0);
+}
+
+TEST_CASE("a resized pattern keeps the demand for each worker")
+{
+    auto const spec = make_deployment("uneven-workers");
+    for (std::size_t const workers : {14, 60, 300, 1'000})
+    {
+        auto const resized = resize(spec, workers);
+        std::size_t n = 0;
+        for (auto const& service : resized.services)
+        {
+            n += std::accumulate(service.workers.begin(), service.workers.end(),
+                                 std::size_t{0});
+        }
+        REQUIRE(n >= workers - 1);
+        REQUIRE(n <= workers + 1);
+        REQUIRE(resized.requests_per_second / static_cast<double>(workers) ==
+                Approx(spec.requests_per_second / 59));
+    }
+}
+
+// Guards against ratios that count a worker without calls as absent.
+TEST_CASE("the busiest worker is compared with the mean of all workers")
+{
+    core::instant const start{std::chrono::hours(1)};
+    load_history busy(start);
+    load_history const idle(start);
+    busy.record_open_calls(3, start + core::milliseconds(100));
+    busy.record_open_calls(0, start + core::milliseconds(300));
+    busy.record_arrival(start + core::milliseconds(300));
+    REQUIRE(busy.windows().at(0).open_call_seconds == Approx(0.3));
+    REQUIRE(busy.windows().at(1).open_call_seconds == Approx(0.3));
+    load_ratio_means means;
+    means.add({&busy, &idle, &idle, &idle}, 5);
+    REQUIRE(means.result().of_open_calls[0] == Approx(4));
+    REQUIRE(means.result().of_arrivals[1] == Approx(4));
+}
+
 TEST_CASE("an unknown rule is rejected")
 {
     REQUIRE(policy_without(""));
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -150,6 +150,59 @@
     REQUIRE_FALSE(has_alternative());
 }
 
+// Pattern: uneven-workers. All nodes of a large deployment chose the fastest
+// worker until the next report told them that it was full.
+TEST_CASE(
+    "many nodes spread their calls over free workers of the same distance")
+{
+    fixture f;
+    f.scores->set_nodes(core::node_count(300));
+    for (int i = 0; i < 100; ++i)
+    {
+        f.run("x", "r", 50, 1);
+        f.run("y", "r", 100, 1);
+    }
+    call_traits traits;
+    traits.route = core::route_name("r");
+    load_report report;
+    report.slots = core::slot_count(6);
+    report.running = core::slot_count(3);
+    for (auto const* id : {"x", "y", "far"})
+    {
+        f.scores->record_report(core::upstream_id(id), report, at(0));
+    }
+    report.rejection_share = core::percentage(40);
+    f.scores->record_report(core::upstream_id("rejects"), report, at(0));
+    auto const call_counts =
+        f.count_calls({make_upstream("x"), make_upstream("y"),
+                       make_upstream("far", "b"), make_upstream("rejects")},
+                      5, traits);
+    REQUIRE(call_counts.size() == 2);
+    REQUIRE(call_counts.at("y") > 30);
+    REQUIRE(call_counts.at("x") > call_counts.at("y"));
+}
+
+// Pattern: calm. While few nodes send calls, a report holds until the next one,
+// and slower workers must not get calls that the fastest one can take.
+TEST_CASE("calls of few nodes are not spread")
+{
+    auto const count_calls = [](std::uint64_t nodes) {
+        fixture f;
+        f.scores->set_nodes(core::node_count(nodes));
+        for (int i = 0; i < 100; ++i)
+        {
+            f.run("x", "r", 50, 1);
+            f.run("y", "r", 100, 1);
+        }
+        call_traits traits;
+        traits.route = core::route_name("r");
+        return f.count_calls({make_upstream("x"), make_upstream("y")}, 0,
+                             traits);
+    };
+    REQUIRE(count_calls(14).at("x") == 200);
+    REQUIRE(count_calls(300).at("x") < 200);
+}
+
 // A narrow link may be full with bodies while the worker has free slots.
 TEST_CASE("an upload goes where bodies arrive sooner")
 {
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "balancing/free_worker_draw.hpp"
+
 namespace yuccafall::balancing {
 
 namespace {
@@ -133,6 +135,8 @@
         // The node beside the worker has restarted.
         state.load.rate = known_rate;
     }
+    state.expected.record_report(load.running.value() + load.waiting.value(),
+                                 now);
     state.reported_at = now;
     state.has_report = true;
     while (!state.unreported_calls.empty() &&
@@ -197,6 +201,7 @@
     if (found == states_.end())
     {
         out.time_to_response += duration_from_ms(mean_run_time);
+        out.free_slots = candidate.slots.value();
         return out;
     }
     auto const& state = found->second;
@@ -208,7 +213,11 @@
                                         load.relative_service_time.value() /
                                         100.0;
     double const open_calls =
-        load.running.value() + load.waiting.value() + unreported_count;
+        unreported_count +
+        (spreads_load() ? state.expected.open_calls(
+                              duration_from_ms(expected_run_time_ms), now)
+                        : load.running.value() + load.waiting.value());
+    out.free_slots = slots - open_calls;
     auto const reported_wait =
         traits.nested ? load.wait_for_nested : load.wait_at_back;
     auto const remaining_wait = std::max<core::duration>(
@@ -257,6 +266,7 @@
     if (load.rejection_share > rejection_penalty_threshold)
     {
         out.time_to_response += rejection_penalty;
+        out.rejects = true;
     }
     return out;
 }
@@ -310,6 +320,34 @@
     return out;
 }
 
+bool upstream_scores::spreads_load() const
+{
+    return settings_.spreads_load && slots_to_spread_over(nodes_) >= 1;
+}
+
+std::size_t
+upstream_scores::spread(std::vector<upstream const*> const& candidates,
+                        std::vector<response_estimate> const& estimates,
+                        std::size_t best, core::random_source& random) const
+{
+    auto const is_local = [&](std::size_t i) {
+        return candidates[i]->data_centre == settings_.own_data_centre;
+    };
+    std::vector<free_worker> free_workers;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        auto const& it = estimates[i];
+        bool const takes_part = it.time_to_slot == core::duration::zero() &&
+                                !it.rejects && is_local(i) == is_local(best);
+        if (i == best || takes_part)
+        {
+            free_workers.push_back({i, it.free_slots, it.time_to_response});
+        }
+    }
+    return draw_free_worker(std::move(free_workers),
+                            slots_to_spread_over(nodes_), random);
+}
+
 choice upstream_scores::choose(std::vector<upstream> const& upstreams,
                                std::set<core::upstream_id> const& tried,
                                call_traits const& traits, core::instant now,
@@ -321,26 +359,32 @@
     {
         return none_available{};
     }
-    upstream const* best = nullptr;
+    std::vector<response_estimate> estimates;
+    std::size_t best = 0;
     double best_score = 0;
     std::size_t free_candidates = 0;
-    bool best_is_free = false;
     for (auto const* it : candidates)
     {
-        auto const expected = estimate_for(*it, traits, now);
-        bool const is_free = expected.time_to_slot == core::duration::zero();
-        free_candidates += is_free ? 1 : 0;
+        auto const& expected =
+            estimates.emplace_back(estimate_for(*it, traits, now));
+        free_candidates +=
+            expected.time_to_slot == core::duration::zero() ? 1 : 0;
         auto const score =
             static_cast<double>(expected.time_to_response.count()) *
             (1 + max_jitter * random.unit());
-        if (best == nullptr || score < best_score)
+        if (estimates.size() == 1 || score < best_score)
         {
-            best = it;
+            best = estimates.size() - 1;
             best_score = score;
-            best_is_free = is_free;
         }
     }
-    return chosen{best, free_candidates > (best_is_free ? 1U : 0U)};
+    bool const best_is_free =
+        estimates[best].time_to_slot == core::duration::zero();
+    if (best_is_free && spreads_load())
+    {
+        best = spread(candidates, estimates, best, random);
+    }
+    return chosen{candidates[best], free_candidates > (best_is_free ? 1U : 0U)};
 }
 
 } // namespace yuccafall::balancing
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -2,9 +2,11 @@
 //
 // A node estimates when each worker would respond from the most recent load
 // report of the node beside that worker, the calls that it has sent there
-// since, and the run times of its calls there. It chooses the worker with the
-// earliest expected response. A random factor keeps nodes that have the same
-// outdated reports from all choosing the same worker.
+// since, and the run times of its calls there. The earliest expected response
+// decides whether the call waits and whether it leaves the data centre. A
+// random factor keeps nodes that have the same outdated reports from all
+// choosing the same worker. With many nodes this is not enough, so that a call
+// that need not wait goes to one of the free workers by draw_free_worker().
 //
 // The run time of a call is the time for which it holds a slot of the worker.
 // An ejected worker gets no calls for a limited time, because calls to it have
@@ -19,6 +21,7 @@
 #include <variant>
 #include <vector>
 
+#include "balancing/expected_load.hpp"
 #include "core/endpoint.hpp"
 #include "core/ids.hpp"
 #include "core/random.hpp"
@@ -117,6 +120,10 @@
     // calls stay there, so the choice there determines how long they wait.
     std::size_t max_local_candidates = 8;
     std::size_t max_remote_candidates = 4;
+    // Load reports are interpreted by their age, and calls are spread over free
+    // workers, if there are enough nodes (see spreads_load() below). The model
+    // disables this to measure its effect.
+    bool spreads_load = true;
 };
 
 // Results of choosing an upstream.
@@ -154,6 +161,9 @@
         : settings_(std::move(settings))
     {}
 
+    // Sets the number of nodes that choose among the same workers.
+    void set_nodes(core::node_count nodes) { nodes_ = nodes; }
+
     // Chooses none of the upstreams in `tried`.
     choice choose(std::vector<upstream> const& upstreams,
                   std::set<core::upstream_id> const& tried,
@@ -195,6 +205,7 @@
     struct upstream_state
     {
         load_report load;
+        expected_load expected;
         core::instant reported_at{};
         bool has_report = false;
         // Number of calls from this node that have not ended.
@@ -218,10 +229,23 @@
     {
         core::duration time_to_slot{};
         core::duration time_to_response{};
+        // Expected number of free slots, which may be a fraction.
+        double free_slots = 0;
+        // The worker rejects many of its calls.
+        bool rejects = false;
     };
     response_estimate estimate_for(upstream const& candidate,
                                    call_traits const& traits,
                                    core::instant now) const;
+    // Returns whether the other nodes are expected to send calls to the same
+    // workers before the next load report. If they send less than one, a report
+    // holds until the next one, and the fastest worker is chosen.
+    bool spreads_load() const;
+    // Returns the index of the worker to which a call goes that need not wait
+    // at the candidate `best`.
+    std::size_t spread(std::vector<upstream const*> const& candidates,
+                       std::vector<response_estimate> const& estimates,
+                       std::size_t best, core::random_source& random) const;
     // Draws at random at most max_local_candidates workers from this node's
     // data centre and at most max_remote_candidates from others.
     std::vector<upstream const*>
@@ -239,6 +263,7 @@
     double mean_run_time_ms(core::route_name const& route) const;
 
     choice_settings settings_;
+    core::node_count nodes_{1};
     membership::leaving_workers leaving_workers_;
     std::map<core::upstream_id, upstream_state> states_;
     // Moving average of the run time of each route over all upstreams, in
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -85,6 +85,7 @@
     bool const new_routes = !view_ || view_->routes != view->routes;
     view_ = std::move(view);
     retry_budget_.set_nodes(view_->nodes);
+    upstream_scores_.set_nodes(view_->nodes);
     std::set<core::upstream_id> listed;
     for (auto const& [service, workers] : view_->upstreams)
     {
