--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -54,7 +54,11 @@
         per_offer(&simulation_result::waits_beside_free_worker);
     out.refusals_beside_free_worker =
         per_offer(&simulation_result::refusals_beside_free_worker);
-    out.messages_per_offer = per_offer(&simulation_result::messages);
+    out.messages_per_request = mean_of([](simulation_result const& it) {
+        return static_cast<double>(it.messages) /
+               static_cast<double>(
+                   std::max<std::uint64_t>(it.total().asked, 1));
+    });
     for (std::size_t i = 0; i < window_lengths.size(); ++i)
     {
         out.busiest_open_calls[i] = mean_of([i](simulation_result const& it) {
@@ -73,10 +77,10 @@
         return fmt::format("{:.3f}±{:.3f}", e.mean, e.half_interval);
     };
     fmt::print("waits_beside_free={} refusals_beside_free={} "
-               "messages_per_offer={}\n",
+               "messages_per_request={}\n",
                text(it.waits_beside_free_worker),
                text(it.refusals_beside_free_worker),
-               text(it.messages_per_offer));
+               text(it.messages_per_request));
     for (std::size_t i = 0; i < window_lengths.size(); ++i)
     {
         fmt::print(
--- a/bench/model/experiment.hpp
+++ b/bench/model/experiment.hpp
@@ -31,7 +31,7 @@
     estimate refusals_beside_free_worker;
     std::array<estimate, window_lengths.size()> busiest_open_calls;
     std::array<estimate, window_lengths.size()> busiest_arrivals;
-    estimate messages_per_offer;
+    estimate messages_per_request;
 };
 
 struct comparison
--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -125,6 +125,9 @@
     add_counter(out, "yuccafall_redirects_total",
                 "Calls offered again that had reached no worker.",
                 core::value_of(it.redirects));
+    add_counter(out, "yuccafall_free_slot_refusals_total",
+                "Offers refused by a full worker while another seemed free.",
+                core::value_of(it.free_slot_refusals));
     add_counter(out, "yuccafall_retries_total",
                 "Calls offered again that had reached a worker.",
                 core::value_of(it.retries));
--- a/src/balancing/free_worker_draw.cpp
+++ b/src/balancing/free_worker_draw.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-double slots_to_spread_over(core::node_count nodes)
+double expected_calls_before_report(core::node_count nodes)
 {
     return calls_per_node * static_cast<double>(nodes.value());
 }
--- a/src/balancing/free_worker_draw.hpp
+++ b/src/balancing/free_worker_draw.hpp
@@ -7,8 +7,8 @@
 // the calls of all nodes together fill the workers evenly.
 //
 // Only as many workers take part as are needed for the calls that the other
-// nodes may send before the next report. Few nodes choose almost only the
-// fastest worker, many nodes use all of the free ones.
+// nodes may send before the next report, so that few nodes use almost only the
+// fastest worker.
 #ifndef YUCCAFALL_BALANCING_FREE_WORKER_DRAW_HPP
 #define YUCCAFALL_BALANCING_FREE_WORKER_DRAW_HPP
 
@@ -29,9 +29,10 @@
     core::duration time_to_response{};
 };
 
-// Returns the number of free slots that the workers of a draw must have
-// together. `nodes` is the number of nodes that choose among the same workers.
-double slots_to_spread_over(core::node_count nodes);
+// Returns how many calls the nodes are expected to send to the candidates of
+// one choice before the next load report. `nodes` is the number of nodes that
+// choose among the same workers.
+double expected_calls_before_report(core::node_count nodes);
 
 // Draws among the fastest workers that together have `min_free_slots`, or among
 // all if they have fewer. Returns the index member of the drawn worker. The
--- a/src/balancing/tests/even_load_test.cpp
+++ b/src/balancing/tests/even_load_test.cpp
@@ -61,10 +61,11 @@
 // Pattern: uneven-workers. All nodes chose the worker that seemed fastest.
 TEST_CASE("free workers of many nodes get calls by their free slots")
 {
-    auto const counts = count_draws({{0, 1, milliseconds(50)},
-                                     {1, 3, milliseconds(50)},
-                                     {2, 0, milliseconds(50)}},
-                                    slots_to_spread_over(core::node_count(60)));
+    auto const counts =
+        count_draws({{0, 1, milliseconds(50)},
+                     {1, 3, milliseconds(50)},
+                     {2, 0, milliseconds(50)}},
+                    expected_calls_before_report(core::node_count(60)));
     REQUIRE(counts.at(0) + counts.at(1) >= 990);
     REQUIRE(counts.at(1) > 2 * counts.at(0));
     REQUIRE(counts.at(1) < 4 * counts.at(0));
@@ -76,10 +77,10 @@
     std::vector<free_worker> const workers{{0, 6, milliseconds(100)},
                                            {1, 4, milliseconds(50)},
                                            {2, 6, milliseconds(110)}};
-    auto const few = slots_to_spread_over(core::node_count(14));
+    auto const few = expected_calls_before_report(core::node_count(14));
     REQUIRE(count_draws(workers, few).at(1) == 1'000);
     // The fastest worker is too small for the calls of many nodes.
-    auto const many = slots_to_spread_over(core::node_count(120));
+    auto const many = expected_calls_before_report(core::node_count(120));
     REQUIRE(count_draws(workers, many).size() == 2);
 }
 
@@ -89,6 +90,6 @@
 {
     auto const counts =
         count_draws({{0, 2, milliseconds(50)}, {1, 6, milliseconds(300)}},
-                    slots_to_spread_over(core::node_count(1'000)));
+                    expected_calls_before_report(core::node_count(1'000)));
     REQUIRE(counts.at(0) == 1'000);
 }
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -194,6 +194,10 @@
             f.run("x", "r", 50, 1);
             f.run("y", "r", 100, 1);
         }
+        load_report report;
+        report.slots = core::slot_count(6);
+        report.running = core::slot_count(3);
+        f.scores->record_report(core::upstream_id("x"), report, at(0));
         call_traits traits;
         traits.route = core::route_name("r");
         return f.count_calls({make_upstream("x"), make_upstream("y")}, 0,
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -322,7 +322,7 @@
 
 bool upstream_scores::spreads_load() const
 {
-    return settings_.spreads_load && slots_to_spread_over(nodes_) >= 1;
+    return settings_.spreads_load && expected_calls_before_report(nodes_) >= 1;
 }
 
 std::size_t
@@ -344,8 +344,12 @@
             free_workers.push_back({i, it.free_slots, it.time_to_response});
         }
     }
-    return draw_free_worker(std::move(free_workers),
-                            slots_to_spread_over(nodes_), random);
+    // The slots of one worker are the upper limit, because each worker reports
+    // its load to all nodes that have recently sent it calls. If the calls of a
+    // node went to more workers, the number of load reports would grow.
+    auto const min_free_slots = std::min<double>(
+        expected_calls_before_report(nodes_), candidates[best]->slots.value());
+    return draw_free_worker(std::move(free_workers), min_free_slots, random);
 }
 
 choice upstream_scores::choose(std::vector<upstream> const& upstreams,
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -376,6 +376,7 @@
     auto const now = core::boot_clock::now();
     if (step.may_reselect_upstream)
     {
+        core::add(ingress_->counters_->free_slot_refusals);
         tried_upstreams_.erase(upstream_->id);
         try_next_upstream();
         return;
--- a/src/ingress/counters.hpp
+++ b/src/ingress/counters.hpp
@@ -47,6 +47,10 @@
     // Attempts after one that reached no worker, except after the refusal of an
     // offer that required a free slot.
     core::counter redirects{0};
+    // Refusals of offers that required a free slot. The worker was full
+    // although the load reports at this node showed it as free, or as worth a
+    // wait while another was free.
+    core::counter free_slot_refusals{0};
     // Attempts after one that reached a worker.
     core::counter retries{0};
     // Retries that were not made because the retry budget was exhausted.
