--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -182,6 +182,25 @@
     REQUIRE(call_counts.at("x") > call_counts.at("y"));
 }
 
+// A worker that limits its rate has free slots that no call can use. Guards
+// against as many calls there as at a worker without a limit.
+TEST_CASE("a worker that limits its rate gets calls by its rate")
+{
+    fixture f;
+    f.scores->set_nodes(core::node_count(300));
+    load_report report;
+    report.slots = core::slot_count(6);
+    report.running = core::slot_count(1);
+    f.scores->record_report(core::upstream_id("y"), report, at(0));
+    // One call of 100 ms in 100 ms.
+    report.rate = core::rate_limited{core::millihertz(10'000)};
+    f.scores->record_report(core::upstream_id("x"), report, at(0));
+    auto const call_counts =
+        f.count_calls({make_upstream("x"), make_upstream("y")}, 1);
+    REQUIRE(call_counts.at("x") > 0);
+    REQUIRE(call_counts.at("y") > 3 * call_counts.at("x"));
+}
+
 // Pattern: calm. While few nodes send calls, a report holds until the next one,
 // and slower workers must not get calls that the fastest one can take.
 TEST_CASE("calls of few nodes are not spread")
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -232,6 +232,9 @@
     {
         auto const interval_ms =
             1e6 / std::max<double>(limited->limit.value(), 1);
+        // Calls at the rate use this many slots, and the others stay empty.
+        out.free_slots =
+            std::min(out.free_slots, expected_run_time_ms / interval_ms);
         out.time_to_slot = std::max(
             out.time_to_slot,
             remaining_wait + duration_from_ms(interval_ms * unreported_count));
