--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -193,17 +193,17 @@
             fmt::format("{}{}:{}", i == 0 ? "" : ", ", vms_[i].address.value(),
                         ports_[control_port].port().value());
     }
-    return fmt::format("vm: vm-{}\nservice: {}\ndata_centre: {}\n"
-                       "region: here\nendpoints:\n  callers: {}\n"
-                       "  readiness: {}\n  control: {}\n  traffic: {}\n"
-                       "  operators: {}\n  worker: {}\n  platform: {}\n"
-                       "seeds: [{}]\nbounds:\n  longest_drain_s: 6\n",
-                       vm, it.options.service, it.options.data_centre,
-                       endpoint_text(caller_port),
-                       endpoint_text(readiness_port),
-                       endpoint_text(control_port), endpoint_text(traffic_port),
-                       endpoint_text(admin_port), endpoint_text(worker_port),
-                       core::to_string(store_->local()), seeds);
+    return fmt::format(
+        "vm: vm-{}\nservice: {}\ndata_centre: {}\n"
+        "region: here\nendpoints:\n  callers: {}\n"
+        "  readiness: {}\n  control: {}\n  traffic: {}\n"
+        "  operators: {}\n  worker: {}\n  platform: {}\n"
+        "seeds: [{}]\nbounds:\n  longest_drain_s: 6\n{}",
+        vm, it.options.service, it.options.data_centre,
+        endpoint_text(caller_port), endpoint_text(readiness_port),
+        endpoint_text(control_port), endpoint_text(traffic_port),
+        endpoint_text(admin_port), endpoint_text(worker_port),
+        core::to_string(store_->local()), seeds, additional_settings_);
 }
 
 void deployment::start_node(std::size_t vm)
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -59,6 +59,11 @@
 
     std::size_t size() const { return vms_.size(); }
 
+    // Appends lines to the settings of all nodes that are started from now on.
+    void add_settings(std::string lines)
+    {
+        additional_settings_ = std::move(lines);
+    }
     void start_node(std::size_t vm);
     void start_nodes();
     child_process& node(std::size_t vm) { return *vms_[vm].node; }
@@ -118,6 +123,7 @@
     bool poll_until(std::function<bool()> const& condition);
 
     std::string directory_;
+    std::string additional_settings_;
     // The kernel has chosen each port as free on 127.0.0.1. Every VM uses the
     // same ports on its own address.
     std::vector<port_reservation> ports_;
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -16,6 +16,18 @@
     return value == nullptr ? std::string() : *value;
 }
 
+// Returns the size of the body that the target asks for, or 0 if it asks for
+// none.
+std::size_t stated_body_size(std::string const& target)
+{
+    constexpr std::string_view name = "size=";
+    auto const at = target.rfind(name);
+    return at == std::string::npos
+               ? 0
+               : http::parse_number(target.substr(at + name.size()))
+                     .value_or(0);
+}
+
 } // namespace
 
 fake_worker::fake_worker(core::endpoint const& at, worker_options options)
@@ -165,20 +177,21 @@
         ++counts_.canceled;
         timer->cancel();
     });
-    timer->async_wait([this, caller, id, timer,
-                       disconnected](boost::system::error_code const&) {
-        // A crash of the worker resets the count while requests are running, so
-        // it can be zero here.
-        running_ -= running_ > 0 ? 1 : 0;
-        if (!*disconnected)
-        {
-            finish_request(caller, id);
-        }
-    });
+    timer->async_wait(
+        [this, caller, id, timer, disconnected,
+         size = stated_body_size(it.target)](boost::system::error_code const&) {
+            // A crash of the worker resets the count while requests are
+            // running, so it can be zero here.
+            running_ -= running_ > 0 ? 1 : 0;
+            if (!*disconnected)
+            {
+                finish_request(caller, id, size);
+            }
+        });
 }
 
 void fake_worker::finish_request(connection const& caller,
-                                 std::string const& id)
+                                 std::string const& id, std::size_t body_size)
 {
     if (fault_ == worker_fault::drops_responses)
     {
@@ -190,7 +203,7 @@
     it.headers = {{"Attempt-Id", id},
                   {"Response-Signature", options_.id + "." + id}};
     add_statements(it);
-    it.body = "answer to " + id;
+    it.body = body_size == 0 ? "answer to " + id : std::string(body_size, 'x');
     if (fault_ == worker_fault::adds_content_encoding)
     {
         it.headers.push_back({"Content-Encoding", "broken"});
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -63,6 +63,8 @@
     std::vector<limit_episode> limits;
 };
 
+// The target of a request may end in "size=N", which asks for a response whose
+// body has N bytes.
 class fake_worker
 {
 public:
@@ -87,7 +89,8 @@
 
     void listen();
     void handle(connection const& caller, http::request const& it);
-    void finish_request(connection const& caller, std::string const& id);
+    void finish_request(connection const& caller, std::string const& id,
+                        std::size_t body_size);
     // The id is that of the request that is rejected, or empty.
     http::response make_rejection(int status, std::string const& id = {}) const;
     void add_statements(http::response& to) const;
