--- /dev/null
+++ b/src/core/memory_account.hpp
@@ -0,0 +1,25 @@
+// The memory that a node holds for others, divided into parts that cannot take
+// each other's.
+#ifndef YUCCAFALL_CORE_MEMORY_ACCOUNT_HPP
+#define YUCCAFALL_CORE_MEMORY_ACCOUNT_HPP
+
+#include <memory>
+
+#include "core/memory_part.hpp"
+
+namespace yuccafall::core {
+
+struct memory_account
+{
+    // Callers' requests, including those that are still arriving.
+    std::shared_ptr<memory_part> requests;
+    // Responses that callers have not taken yet, and what is reserved for those
+    // that have not arrived.
+    std::shared_ptr<memory_part> responses;
+    // Frames between nodes that are queued or being received.
+    std::shared_ptr<memory_part> frames;
+};
+
+} // namespace yuccafall::core
+
+#endif
--- /dev/null
+++ b/src/core/memory_part.cpp
@@ -0,0 +1,122 @@
+// Counts the bytes of a part and chooses the holders to end.
+#include "core/memory_part.hpp"
+
+#include <utility>
+
+namespace yuccafall::core {
+
+namespace {
+
+// Every reader counts as one that has taken this much in this time before its
+// transfer began.
+constexpr byte_count assumed_delivered{64UL * 1024};
+constexpr std::chrono::seconds assumed_time{1};
+
+// Readers above this rate keep their data when others need the memory. A reader
+// that takes nothing falls below it after one second.
+constexpr bytes_per_second slow_rate{32UL * 1024};
+
+// Returns bytes per second.
+double average_rate(transfer_progress const& it, instant now)
+{
+    auto const time =
+        std::chrono::duration<double>(now - it.since + assumed_time);
+    auto const bytes = it.delivered.value() + assumed_delivered.value();
+    return static_cast<double>(bytes) / time.count();
+}
+
+} // namespace
+
+duration expected_transfer_time(transfer_progress const& it, instant now)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+        static_cast<double>(it.remaining.value()) / average_rate(it, now)));
+}
+
+bool is_slow(transfer_progress const& it, instant now)
+{
+    return average_rate(it, now) < static_cast<double>(slow_rate.value());
+}
+
+bool memory_part::has_room(byte_count needed) const
+{
+    return used().value() + needed.value() <= limit_.value();
+}
+
+held_memory* memory_part::find_slowest(eviction from, instant now) const
+{
+    held_memory* slowest = nullptr;
+    duration longest{};
+    for (auto* it : holders_)
+    {
+        auto const progress = it->holder_.progress();
+        auto const time = expected_transfer_time(progress, now);
+        bool const may_end =
+            from == eviction::all_holders || is_slow(progress, now);
+        if (may_end && (slowest == nullptr || time > longest))
+        {
+            slowest = it;
+            longest = time;
+        }
+    }
+    return slowest;
+}
+
+bool memory_part::make_room(byte_count needed, eviction from, instant now)
+{
+    while (!has_room(needed))
+    {
+        auto* const it = find_slowest(from, now);
+        if (it == nullptr)
+        {
+            return false;
+        }
+        add(ended_);
+        // The call may destroy the object.
+        auto const end = std::exchange(it->holder_, {}).end;
+        holders_.erase(it);
+        end();
+    }
+    return true;
+}
+
+held_memory::~held_memory()
+{
+    release();
+}
+
+void held_memory::set_part(std::shared_ptr<memory_part> part)
+{
+    release();
+    part_ = std::move(part);
+}
+
+void held_memory::set_holder(holder it)
+{
+    holder_ = std::move(it);
+    if (part_)
+    {
+        part_->holders_.insert(this);
+    }
+}
+
+void held_memory::resize(byte_count size)
+{
+    auto const previous = std::exchange(size_, size);
+    if (part_)
+    {
+        part_->used_ += size.value() - previous.value();
+    }
+}
+
+void held_memory::release()
+{
+    resize(byte_count(0));
+    holder_ = {};
+    if (part_)
+    {
+        part_->holders_.erase(this);
+    }
+}
+
+} // namespace yuccafall::core
--- /dev/null
+++ b/src/core/memory_part.hpp
@@ -0,0 +1,119 @@
+// Accounts for the memory that one kind of data takes up, such as the responses
+// that are held for callers, and decides whose data is dropped when the memory
+// is used up. It does no I/O.
+//
+// A node has one part for each kind of data, each with a limit of its own, so
+// that no kind can take the memory of another.
+#ifndef YUCCAFALL_CORE_MEMORY_PART_HPP
+#define YUCCAFALL_CORE_MEMORY_PART_HPP
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "core/counter.hpp"
+#include "core/units.hpp"
+
+namespace yuccafall::core {
+
+// How much of the held data its reader has taken.
+struct transfer_progress
+{
+    byte_count delivered;
+    byte_count remaining;
+    // When the transfer began.
+    instant since;
+};
+
+// Returns how long the rest of the data takes at the reader's average rate.
+// Each reader is assumed to have taken some data before, so that one that has
+// just begun is not mistaken for a slow one.
+duration expected_transfer_time(transfer_progress const& it, instant now);
+
+// Returns whether the reader is too slow to keep its data while others need the
+// memory.
+bool is_slow(transfer_progress const& it, instant now);
+
+class held_memory;
+
+// Not thread-safe except for used() and ended(), which any thread may call.
+class memory_part
+{
+public:
+    enum class eviction
+    {
+        slow_holders,
+        all_holders,
+    };
+
+    explicit memory_part(byte_count limit) : limit_(limit) {}
+    memory_part(memory_part const&) = delete;
+    memory_part& operator=(memory_part const&) = delete;
+
+    byte_count limit() const { return limit_; }
+    byte_count used() const { return byte_count(value_of(used_)); }
+    // Returns how many holders have been ended to make room.
+    std::uint64_t ended() const { return value_of(ended_); }
+
+    bool has_room(byte_count needed) const;
+    // Ends holders until there is room, those first whose readers need longest
+    // for the rest of their data. Returns false if there is still no room.
+    bool make_room(byte_count needed, eviction from, instant now);
+
+private:
+    friend class held_memory;
+
+    // Returns null if no holder may be ended.
+    held_memory* find_slowest(eviction from, instant now) const;
+
+    byte_count const limit_;
+    // Invariant: the sum of the sizes of all held_memory objects of this part.
+    counter used_{0};
+    counter ended_{0};
+    // Invariant: the objects with a holder.
+    std::set<held_memory*> holders_;
+};
+
+// Counts bytes in a part as long as the object exists. Without a part, it only
+// stores the size.
+class held_memory
+{
+public:
+    // Whoever holds data for a reader and can drop it.
+    struct holder
+    {
+        std::function<transfer_progress()> progress;
+        // Must release the memory before it returns.
+        std::function<void()> end;
+    };
+
+    held_memory() = default;
+    explicit held_memory(std::shared_ptr<memory_part> part)
+        : part_(std::move(part))
+    {}
+    held_memory(held_memory const&) = delete;
+    held_memory& operator=(held_memory const&) = delete;
+    ~held_memory();
+
+    // Releases the bytes that are held and counts later ones in this part.
+    void set_part(std::shared_ptr<memory_part> part);
+    // From now on, the part may end the holder to make room.
+    void set_holder(holder it);
+    // Sets the number of bytes, even if the part has no room for them.
+    void resize(byte_count size);
+    // Releases the bytes and the holder.
+    void release();
+
+    byte_count size() const { return size_; }
+
+private:
+    friend class memory_part;
+
+    std::shared_ptr<memory_part> part_;
+    byte_count size_;
+    holder holder_;
+};
+
+} // namespace yuccafall::core
+
+#endif
