--- a/src/transport/link_pacer.cpp
+++ b/src/transport/link_pacer.cpp
@@ -21,7 +21,7 @@
 link_ticket link_pacer::open(core::byte_count size)
 {
     link_ticket const it(++last_ticket_);
-    open_.emplace(it, size);
+    open_.emplace(it, message{size, {}});
     pending_bytes_ = core::byte_count(pending_bytes_.value() + size.value());
     return it;
 }
@@ -33,18 +33,20 @@
     {
         return;
     }
-    pending_bytes_ =
-        core::byte_count(pending_bytes_.value() - found->second.value());
+    pending_bytes_ = core::byte_count(pending_bytes_.value() -
+                                      found->second.remaining.value());
     open_.erase(found);
     requests_.erase(it);
+    writing_.erase(it);
 }
 
 void link_pacer::request(link_ticket const& it)
 {
     auto const found = open_.find(it);
-    if (found != open_.end() && found->second.value() > 0)
+    if (found != open_.end() && found->second.remaining.value() > 0)
     {
         requests_.insert(it);
+        writing_.erase(it);
     }
 }
 
@@ -56,7 +58,10 @@
     }
     auto const ticket = *requests_.begin();
     requests_.erase(requests_.begin());
-    auto& remaining = open_.at(ticket);
+    writing_.insert(ticket);
+    auto& granted = open_.at(ticket);
+    granted.granted_at = now;
+    auto& remaining = granted.remaining;
     auto const part_of_link =
         settings_.bandwidth.value() *
         static_cast<std::uint64_t>(settings_.min_part_time.count()) / 1000;
@@ -70,6 +75,20 @@
     return grant{ticket, size};
 }
 
+core::duration link_pacer::active_backlog(core::instant now) const
+{
+    auto pending = pending_bytes_.value();
+    for (auto const& it : writing_)
+    {
+        auto const& written = open_.at(it);
+        if (now - written.granted_at >= settings_.stall_time)
+        {
+            pending -= written.remaining.value();
+        }
+    }
+    return transfer_time(core::byte_count(pending));
+}
+
 std::optional<core::instant> link_pacer::next_time() const
 {
     return requests_.empty() ? std::nullopt : std::optional(next_part_at_);
--- a/src/transport/link_pacer.hpp
+++ b/src/transport/link_pacer.hpp
@@ -33,6 +33,8 @@
     // A timer that fires late delays the next part by no more than this beyond
     // the rate of the link.
     core::milliseconds max_catch_up{20};
+    // A connection that takes this long to write a part has stalled.
+    core::milliseconds stall_time{1'000};
 };
 
 // Identifies a long message. Messages get their parts in the order of their
@@ -66,14 +68,27 @@
 
     // Returns how long the parts that have not been granted yet take.
     core::duration backlog() const { return transfer_time(pending_bytes_); }
+    // Returns the same without the messages whose connections have stalled,
+    // since the link does not wait for them.
+    core::duration active_backlog(core::instant now) const;
 
 private:
     core::duration transfer_time(core::byte_count bytes) const;
 
     link_pacer_settings settings_;
-    std::map<link_ticket, core::byte_count> open_;
-    // Invariant: each element is in open_ with a size above 0.
+    struct message
+    {
+        // Size of the parts that have not been granted yet.
+        core::byte_count remaining;
+        // When the last part was granted.
+        core::instant granted_at{};
+    };
+
+    std::map<link_ticket, message> open_;
+    // Invariant: each element is in open_ with a remaining size above 0.
     std::set<link_ticket> requests_;
+    // Messages of which a part is being written.
+    std::set<link_ticket> writing_;
     // Invariant: the sum of the sizes in open_.
     core::byte_count pending_bytes_;
     core::instant next_part_at_{};
--- a/src/transport/paced_link.hpp
+++ b/src/transport/paced_link.hpp
@@ -30,7 +30,11 @@
     // size of that part. The handler is never called from within request().
     void request(link_ticket const& it, grant_handler on_granted);
 
-    core::duration backlog() const { return pacer_.backlog(); }
+    // Returns how long the long messages take whose connections keep up.
+    core::duration backlog() const
+    {
+        return pacer_.active_backlog(core::boot_clock::now());
+    }
 
 private:
     void schedule();
--- a/src/transport/tests/link_pacer_test.cpp
+++ b/src/transport/tests/link_pacer_test.cpp
@@ -76,6 +76,24 @@
     REQUIRE(pacer.next(at(0))->ticket == ready);
 }
 
+// Guards against unread responses that count as work of the link, so that the
+// worker's node refuses all further calls with long responses.
+TEST_CASE("a message whose connection has stalled does not count as backlog")
+{
+    link_pacer pacer(make_settings());
+    auto const stalled = pacer.open(core::byte_count(60'000));
+    auto const next = pacer.open(core::byte_count(20'000));
+    pacer.request(stalled);
+    REQUIRE(pacer.next(at(0))->ticket == stalled);
+    REQUIRE(pacer.active_backlog(at(999)) == milliseconds(70));
+    REQUIRE(pacer.active_backlog(at(1'000)) == milliseconds(20));
+    // A message that waits for the link counts however long it waits.
+    pacer.request(next);
+    REQUIRE(pacer.active_backlog(at(5'000)) == milliseconds(20));
+    pacer.request(stalled);
+    REQUIRE(pacer.active_backlog(at(5'000)) == milliseconds(70));
+}
+
 TEST_CASE("a message that will not be sent leaves the backlog")
 {
     link_pacer pacer(make_settings());
