--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "core/log.hpp"
 #include "transport/socket_options.hpp"
 
 namespace yuccafall::transport {
@@ -22,6 +24,12 @@
 
 namespace {
 
+// A frame that has no room is tried again after this long.
+constexpr core::milliseconds room_poll_interval{20};
+
+// Largest number of bytes that are passed to the kernel at once.
+constexpr std::size_t max_write_size = 256UL * 1024;
+
 core::error io_error(std::string_view operation, error_code const& ec)
 {
     return {core::error_kind::io,
@@ -59,7 +67,9 @@
                                    connection_options options)
     : socket_(std::move(socket)), idle_timer_(socket_.get_executor()),
       options_(std::move(options)), reader_(frame_limit_of(kind)),
-      last_activity_(core::boot_clock::now()), last_read_(last_activity_)
+      last_activity_(core::boot_clock::now()), last_read_(last_activity_),
+      memory_(options_.memory), write_timer_(socket_.get_executor()),
+      room_timer_(socket_.get_executor())
 {
     error_code ec;
     set_socket_options(socket_);
@@ -134,7 +144,22 @@
         close({core::error_kind::io, "send queue is full"});
         return false;
     }
+    if (options_.memory &&
+        !options_.memory->make_room(core::byte_count(size),
+                                    core::memory_part::eviction::all_holders,
+                                    core::boot_clock::now()) &&
+        open_ && queued_bytes_ > 0)
+    {
+        close_for_memory();
+    }
+    // Making room may have closed this connection.
+    if (!open_)
+    {
+        return false;
+    }
     queued_bytes_ += size;
+    count_memory();
+    start_write_check(options_.write_timeout);
     auto const header = encode_frame_length(frame.size());
     if (options_.link && frame.size() > max_unpaced_message.value())
     {
@@ -174,10 +199,9 @@
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     idle_timer_.cancel(ignored);
-    for (auto const& it : paced_queue_)
-    {
-        options_.link->close(it.ticket);
-    }
+    write_timer_.cancel(ignored);
+    room_timer_.cancel(ignored);
+    free_frames();
     auto handlers = std::exchange(handlers_, {});
     if (!handlers.closed)
     {
@@ -194,12 +218,162 @@
     close({core::error_kind::io, "connection was released"});
 }
 
+// Frees all frames at once. A write that is pending has been canceled and does
+// not use its frame any more.
+void frame_connection::free_frames()
+{
+    for (auto const& it : paced_queue_)
+    {
+        options_.link->close(it.ticket);
+    }
+    paced_queue_.clear();
+    queue_.clear();
+    queued_bytes_ = 0;
+    memory_.release();
+}
+
+void frame_connection::count_memory()
+{
+    if (!options_.memory || !open_)
+    {
+        return;
+    }
+    auto const size = queued_bytes_ + admitted_frame_;
+    if (size == 0)
+    {
+        memory_.release();
+        return;
+    }
+    if (memory_.size().value() == 0)
+    {
+        busy_since_ = core::boot_clock::now();
+        written_when_busy_ = total_written_;
+        memory_.set_holder(
+            {[this] { return progress(); }, [this] { close_for_memory(); }});
+    }
+    memory_.resize(core::byte_count(size));
+}
+
+core::transfer_progress frame_connection::progress() const
+{
+    auto const written =
+        total_written_ + written_of_current_ - written_when_busy_;
+    auto const held = queued_bytes_ + admitted_frame_;
+    auto const done = written_of_current_ + reader_.received() +
+                      (paced_queue_.empty() ? 0 : paced_queue_.front().written);
+    return {core::byte_count(written + reader_.received()),
+            core::byte_count(held - std::min(held, done)), busy_since_};
+}
+
+void frame_connection::close_for_memory()
+{
+    core::log_event(core::log_level::warning, "frame_connection_ended",
+                    {{"remote", remote_},
+                     {"reason", "memory"},
+                     {"queued", queued_bytes_},
+                     {"receiving", admitted_frame_}});
+    close({core::error_kind::io, "the memory for frames is used up"});
+}
+
+void frame_connection::record_write_progress(std::size_t accepted)
+{
+    written_of_current_ = accepted;
+    last_write_progress_ = core::boot_clock::now();
+}
+
+void frame_connection::start_write_check(core::duration delay)
+{
+    if (options_.write_timeout.count() == 0 ||
+        std::exchange(write_check_scheduled_, true))
+    {
+        return;
+    }
+    write_timer_.expires_after(delay);
+    write_timer_.async_wait([weak = weak_from_this()](error_code const& ec) {
+        auto const self = weak.lock();
+        if (!self || ec)
+        {
+            return;
+        }
+        self->write_check_scheduled_ = false;
+        self->check_write_progress();
+    });
+}
+
+void frame_connection::check_write_progress()
+{
+    if (!open_ || queued_bytes_ == 0)
+    {
+        return;
+    }
+    // A frame that waits for the link is not the peer's fault.
+    auto const since_progress =
+        writing_ ? core::boot_clock::now() - last_write_progress_
+                 : core::duration::zero();
+    if (since_progress >= options_.write_timeout)
+    {
+        core::log_event(core::log_level::warning, "frame_connection_ended",
+                        {{"remote", remote_},
+                         {"reason", "slow_reader"},
+                         {"queued", queued_bytes_},
+                         {"receiving", admitted_frame_}});
+        close({core::error_kind::io, "the peer does not read"});
+        return;
+    }
+    start_write_check(options_.write_timeout - since_progress);
+}
+
+bool frame_connection::has_room_for_frame()
+{
+    auto const length = reader_.frame_length();
+    if (!options_.memory || length == admitted_frame_)
+    {
+        return true;
+    }
+    // A frame that would never fit is received while nothing else is held.
+    if (length > max_unpaced_message.value() &&
+        options_.memory->used().value() > 0 &&
+        !options_.memory->make_room(core::byte_count(length),
+                                    core::memory_part::eviction::slow_holders,
+                                    core::boot_clock::now()))
+    {
+        return false;
+    }
+    admitted_frame_ = length;
+    count_memory();
+    return true;
+}
+
+void frame_connection::wait_for_room()
+{
+    room_timer_.expires_after(room_poll_interval);
+    room_timer_.async_wait([weak = weak_from_this()](error_code const& ec) {
+        if (auto const self = weak.lock(); self && !ec)
+        {
+            // The peer has sent data that this node does not read.
+            self->last_read_ = core::boot_clock::now();
+            self->read();
+        }
+    });
+}
+
 void frame_connection::read()
 {
-    if (!open_ || paused_ || !started_ || std::exchange(reading_, true))
+    if (!open_ || paused_ || !started_ || reading_)
     {
         return;
     }
+    if (!has_room_for_frame())
+    {
+        wait_for_room();
+        return;
+    }
+    // Making room may have closed this connection.
+    if (!open_)
+    {
+        return;
+    }
+    reading_ = true;
     auto const space = reader_.prepare();
     socket_.async_read_some(
         asio::buffer(space.data, space.size),
@@ -225,6 +399,8 @@
     }
     if (*frame && open_)
     {
+        admitted_frame_ = 0;
+        count_memory();
         record_activity();
         // The handler is copied because it may replace handlers_.
         auto const received = handlers_.received;
@@ -277,6 +453,7 @@
 void frame_connection::write_part()
 {
     writing_ = true;
+    record_write_progress(0);
     auto const& it = paced_queue_.front();
     auto const size = std::exchange(granted_part_, std::nullopt)->value();
     auto const header_size = it.written == 0 ? it.content.header.size() : 0;
@@ -285,8 +462,14 @@
         asio::buffer(it.content.frame.data() + it.written, size)};
     asio::async_write(
         socket_, parts,
-        [self = shared_from_this(), size](error_code const& ec, std::size_t) {
+        [self = shared_from_this()](error_code const& ec, std::size_t n) {
+            self->record_write_progress(n);
+            return ec ? std::size_t{0} : max_write_size;
+        },
+        [self = shared_from_this(), size](error_code const& ec, std::size_t n) {
             self->writing_ = false;
+            self->written_of_current_ = 0;
+            self->total_written_ += n;
             if (ec)
             {
                 self->close(io_error("write failed", ec));
@@ -318,18 +501,30 @@
 void frame_connection::write_short_frame()
 {
     writing_ = true;
+    record_write_progress(0);
     auto const& front = queue_.front();
     std::array<asio::const_buffer, 2> const parts{asio::buffer(front.header),
                                                   asio::buffer(front.frame)};
     asio::async_write(
         socket_, parts,
+        [self = shared_from_this()](error_code const& ec, std::size_t n) {
+            self->record_write_progress(n);
+            return ec ? std::size_t{0} : max_write_size;
+        },
         [self = shared_from_this()](error_code const& ec, std::size_t n) {
             self->writing_ = false;
+            self->written_of_current_ = 0;
+            self->total_written_ += n;
             if (ec)
             {
                 self->close(io_error("write failed", ec));
                 return;
             }
+            // A connection that has been closed has freed its frames.
+            if (!self->open_)
+            {
+                return;
+            }
             self->queue_.pop_front();
             self->handle_written(n);
         });
@@ -338,6 +533,7 @@
 void frame_connection::handle_written(std::size_t n)
 {
     queued_bytes_ -= n;
+    count_memory();
     if (!queue_.empty() || !paced_queue_.empty())
     {
         write();
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -16,6 +16,7 @@
 
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
+#include "core/memory_part.hpp"
 #include "core/units.hpp"
 #include "transport/frame_reader.hpp"
 #include "transport/paced_link.hpp"
@@ -38,6 +39,14 @@
     // Frames that are longer than max_unpaced_message are sent in parts that
     // this link grants. Null if frames are sent at once.
     std::shared_ptr<paced_link> link;
+    // Counts the frames that are queued or being received, over all connections
+    // that share it. If a frame to send has no room, the connections with the
+    // slowest peers are closed. If a frame to receive has no room, it is left
+    // in the kernel's buffer until it has. Null if only queue_limit applies.
+    std::shared_ptr<core::memory_part> memory;
+    // A connection is closed if its peer takes no byte of a frame for this
+    // long. Zero disables the timeout.
+    core::milliseconds write_timeout{0};
 };
 
 // All handlers are called on the connection's executor.
@@ -131,6 +140,16 @@
     void handle_written(std::size_t n);
     void record_activity();
     void check_idle_timeout();
+    void start_write_check(core::duration delay);
+    void check_write_progress();
+    void record_write_progress(std::size_t accepted);
+    // Returns whether there is memory for the frame that is being received.
+    bool has_room_for_frame();
+    void wait_for_room();
+    void count_memory();
+    core::transfer_progress progress() const;
+    void close_for_memory();
+    void free_frames();
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer idle_timer_;
@@ -145,8 +164,24 @@
     std::optional<core::byte_count> granted_part_;
     bool part_requested_ = false;
     std::size_t queued_bytes_ = 0;
+    // Bytes that the kernel has accepted of the current write.
+    std::size_t written_of_current_ = 0;
+    // Bytes that the kernel has accepted of all frames.
+    std::uint64_t total_written_ = 0;
+    // When the current write began or the kernel last accepted bytes of it.
+    core::instant last_write_progress_{};
+    // Length of the frame that is being received, if it is counted already.
+    std::size_t admitted_frame_ = 0;
+    // When memory was last held for the first time, and total_written_ then.
+    core::instant busy_since_{};
+    std::uint64_t written_when_busy_ = 0;
+    bool write_check_scheduled_ = false;
     core::instant last_activity_;
     core::instant last_read_;
+    // Counts queued_bytes_ and admitted_frame_.
+    core::held_memory memory_;
+    boost::asio::steady_timer write_timer_;
+    boost::asio::steady_timer room_timer_;
     std::string remote_;
     bool open_ = true;
     bool started_ = false;
--- a/src/transport/frame_reader.hpp
+++ b/src/transport/frame_reader.hpp
@@ -61,6 +61,12 @@
     // over the limit; the reader must not be used after that.
     core::result<std::optional<std::string>> commit(std::size_t n);
 
+    // Returns the length of the frame that is being received, or 0 if its
+    // header is not complete.
+    std::size_t frame_length() const { return frame_length_; }
+    // Returns how many bytes of that frame have been received.
+    std::size_t received() const { return frame_filled_; }
+
 private:
     core::result<std::optional<std::string>> header_received();
 
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -299,3 +299,43 @@
     REQUIRE(options.link->backlog() == core::duration::zero());
     net.run_until([&] { return net.server_closed.has_value(); });
 }
+
+// Guards against frames for a peer that does not read, which are held without
+// limit over all connections.
+TEST_CASE("a peer that does not read loses its connection when memory is short")
+{
+    loopback net;
+    connection_options options;
+    options.memory =
+        std::make_shared<core::memory_part>(core::byte_count(20'000'000));
+    auto const client = net.connect(channel_kind::traffic, options);
+    std::optional<core::error> closed;
+    client->start(
+        {nullptr, nullptr, [&](core::error const& it) { closed = it; }});
+    REQUIRE(client->send(std::string(12'000'000, 'x')));
+    REQUIRE(options.memory->used().value() > 12'000'000);
+    REQUIRE_FALSE(client->send(std::string(12'000'000, 'y')));
+    REQUIRE(options.memory->used() == core::byte_count(0));
+    net.run_until([&] { return closed.has_value(); });
+}
+
+// Guards against a peer that keeps frames for ever while others need no memory.
+TEST_CASE("a peer that takes no byte of a frame for too long is disconnected")
+{
+    loopback net;
+    connection_options options;
+    options.write_timeout = core::milliseconds(50);
+    auto const client = net.connect(channel_kind::traffic, options);
+    std::optional<core::error> closed;
+    client->start(
+        {nullptr, nullptr, [&](core::error const& it) { closed = it; }});
+    // The peer reads the first frame, so that it is connected, and no more.
+    net.run_until([&] { return net.server != nullptr; });
+    net.server->pause();
+    while (client->open() && client->queued().value() < 20'000'000)
+    {
+        client->send(std::string(5'000'000, 'x'));
+    }
+    net.run_until([&] { return closed.has_value(); });
+    REQUIRE(closed->detail == "the peer does not read");
+}
