--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -181,6 +181,7 @@
     std::pair<char const*, core::memory_part const*> const parts[] = {
         {"requests", it.requests.get()},
         {"responses", it.responses.get()},
+        {"worker_responses", it.worker_responses.get()},
         {"frames", it.frames.get()}};
     MetricFamily used;
     MetricFamily limit;
--- a/src/core/memory_account.hpp
+++ b/src/core/memory_account.hpp
@@ -16,6 +16,8 @@
     // Responses that callers have not taken yet, and what is reserved for those
     // that have not arrived.
     std::shared_ptr<memory_part> responses;
+    // Responses that are arriving from the worker beside the node.
+    std::shared_ptr<memory_part> worker_responses;
     // Frames between nodes that are queued or being received.
     std::shared_ptr<memory_part> frames;
 };
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -19,7 +19,7 @@
 using boost::system::error_code;
 
 client_connection::client_connection(asio::any_io_executor const& executor)
-    : socket_(executor), timer_(executor)
+    : socket_(executor), timer_(executor), room_timer_(executor)
 {}
 
 void client_connection::connect(core::endpoint const& to,
@@ -68,6 +68,7 @@
     reader_.emplace(options_.sizes, options_.is_head_request);
     request_bytes_ = std::move(message);
     mismatched_responses_ = 0;
+    response_memory_.set_part(options_.memory);
     start_timeout(options_.timeout);
     write_pending_ = true;
     asio::async_write(
@@ -141,7 +142,12 @@
         }
         if (*status == parse_progress::needs_more_data)
         {
-            read();
+            if (has_room_for_response())
+            {
+                read();
+                return;
+            }
+            wait_for_room();
             return;
         }
         auto response = reader_->release();
@@ -158,7 +164,43 @@
             return;
         }
         reader_.emplace(options_.sizes, options_.is_head_request);
+        response_memory_.release();
+    }
+}
+
+// A response is admitted with its whole size, so that those that have been
+// admitted never wait for each other.
+bool client_connection::has_room_for_response()
+{
+    core::byte_count const size(reader_->stated_body_size());
+    if (!options_.memory || size == response_memory_.size())
+    {
+        return true;
+    }
+    // A response that would never fit is read while no other one is held.
+    if (options_.memory->used().value() > 0 && !options_.memory->has_room(size))
+    {
+        return false;
     }
+    response_memory_.resize(size);
+    return true;
+}
+
+void client_connection::wait_for_room()
+{
+    room_timer_.expires_after(room_poll_interval);
+    room_timer_.async_wait([self = shared_from_this()](error_code const& ec) {
+        if (ec || !self->exchange_handler_)
+        {
+            return;
+        }
+        if (self->has_room_for_response())
+        {
+            self->read();
+            return;
+        }
+        self->wait_for_room();
+    });
 }
 
 void client_connection::on_read_error(error_code const& ec)
@@ -193,6 +235,8 @@
 void client_connection::finish_exchange(exchange_result result)
 {
     timer_.cancel();
+    room_timer_.cancel();
+    response_memory_.release();
     idle_since_ = core::boot_clock::now();
     if (result && !result->keep_alive)
     {
@@ -206,6 +250,8 @@
 {
     unusable_ = true;
     timer_.cancel();
+    room_timer_.cancel();
+    response_memory_.release();
     error_code ignored;
     socket_.close(ignored);
     if (connect_handler_)
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -17,6 +17,7 @@
 
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
+#include "core/memory_part.hpp"
 #include "core/units.hpp"
 #include "http/message.hpp"
 #include "http/readers.hpp"
@@ -60,6 +61,10 @@
     // not is discarded, and the connection reads the next one. An empty
     // function accepts every response.
     std::function<bool(response const&)> matches_request;
+    // Counts the responses that state their size, while they arrive. One that
+    // has no room is left in the kernel's buffer until it has, within the
+    // timeout. Null if responses are not counted.
+    std::shared_ptr<core::memory_part> memory;
 };
 
 // Each instance must be used only on the thread that runs its executor.
@@ -99,7 +104,12 @@
     void finish_exchange(exchange_result result);
     void fail_exchange(failure_cause cause, std::string detail);
     void start_timeout(core::milliseconds timeout);
+    // Returns whether there is memory for the response that has begun.
+    bool has_room_for_response();
+    void wait_for_room();
 
+    // A response that has no room is tried again after this long.
+    static constexpr core::milliseconds room_poll_interval{20};
     // A response of the usual size arrives in one read.
     static constexpr std::size_t read_size = 8UL * 1024;
     // One exchange discards up to this many responses that belong to other
@@ -108,6 +118,7 @@
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer room_timer_;
     std::array<char, read_size> read_buffer_{};
     std::string unparsed_bytes_;
     std::string request_bytes_;
@@ -116,6 +127,7 @@
     exchange_handler exchange_handler_;
     connect_handler connect_handler_;
     core::instant idle_since_{};
+    core::held_memory response_memory_;
     int mismatched_responses_ = 0;
     bool write_pending_ = false;
     bool read_pending_ = false;
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -307,6 +307,13 @@
     return state_->started;
 }
 
+std::uint64_t response_reader::stated_body_size() const
+{
+    return state_->parser->is_header_done() && !state_->is_head_request
+               ? state_->parser->content_length().value_or(0)
+               : 0;
+}
+
 response response_reader::release()
 {
     auto message = state_->parser->release();
--- a/src/http/readers.hpp
+++ b/src/http/readers.hpp
@@ -79,6 +79,9 @@
 
     // Returns whether any bytes have been received, be it an interim response.
     bool started() const;
+    // Returns the size of the body that the head states, or 0 if the head is
+    // not complete or states none.
+    std::uint64_t stated_body_size() const;
     // Returns the response. It must be called only once, after the response is
     // complete.
     response release();
--- a/src/node/resource_limits.cpp
+++ b/src/node/resource_limits.cpp
@@ -16,6 +16,7 @@
 // room beside others.
 constexpr std::uint64_t frame_memory_divisor = 4;
 constexpr std::uint64_t response_memory_divisor = 4;
+constexpr std::uint64_t worker_memory_divisor = 5;
 // Largest response of a worker as a share of the memory limit. A worker runs
 // several calls at a time, and a response is copied on its way to the caller.
 constexpr std::uint64_t max_response_divisor = 20;
@@ -61,6 +62,7 @@
     resource_limits out;
     out.request_memory = share_of(it.memory_limit, request_memory_divisor);
     out.response_memory = share_of(it.memory_limit, response_memory_divisor);
+    out.worker_memory = share_of(it.memory_limit, worker_memory_divisor);
     out.frame_memory = share_of(it.memory_limit, frame_memory_divisor);
     out.max_response = share_of(it.memory_limit, max_response_divisor);
     out.caller_connections = limited(
--- a/src/node/resource_limits.hpp
+++ b/src/node/resource_limits.hpp
@@ -11,9 +11,10 @@
 struct resource_limits
 {
     // Memory of callers' requests, of responses until callers have taken them,
-    // and of frames between nodes.
+    // of responses that arrive from the worker, and of frames between nodes.
     core::byte_count request_memory;
     core::byte_count response_memory;
+    core::byte_count worker_memory;
     core::byte_count frame_memory;
     // Largest response of a worker.
     core::byte_count max_response;
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -31,6 +31,10 @@
 
 constexpr core::milliseconds drain_poll_interval{100};
 
+// The platform's checks need one or two; the descriptors of others are left to
+// callers and nodes.
+constexpr core::connection_count max_readiness_connections{64};
+
 class node_process
 {
 public:
@@ -84,6 +88,9 @@
             return tl::unexpected(readiness_server.error());
         }
         readiness_server_ = std::move(*readiness_server);
+        auto readiness_settings = readiness_server_->settings();
+        readiness_settings.max_connections = max_readiness_connections;
+        readiness_server_->set_settings(readiness_settings);
         control_ = std::make_shared<control_plane>(
             context_, settings_,
             [this](std::shared_ptr<ingress::traffic_view const> view) {
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -52,6 +52,7 @@
       limits_(limits_for(settings_, descriptor_limit())),
       memory_{std::make_shared<core::memory_part>(limits_.request_memory),
               std::make_shared<core::memory_part>(limits_.response_memory),
+              std::make_shared<core::memory_part>(limits_.worker_memory),
               std::make_shared<core::memory_part>(limits_.frame_memory)}
 {}
 
@@ -74,7 +75,8 @@
         context_,
         upstream::worker_owner_settings{
             settings_.worker, settings_.link_bandwidth, limits_.max_response,
-            core::incarnation(random_seed()), local_runs},
+            core::incarnation(random_seed()), local_runs,
+            memory_.worker_responses},
         header_codec_, on_poison_notice_, upstream_counters_, link_);
     auto peer_server = peers::peer_server::listen(
         context_, settings_.traffic,
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -144,13 +144,12 @@
         close({core::error_kind::io, "send queue is full"});
         return false;
     }
-    if (options_.memory &&
-        !options_.memory->make_room(core::byte_count(size),
-                                    core::memory_part::eviction::all_holders,
-                                    core::boot_clock::now()) &&
-        open_ && queued_bytes_ > 0)
+    if (options_.memory)
     {
-        close_for_memory();
+        // A frame that would never fit is sent alone.
+        options_.memory->make_room(core::byte_count(size),
+                                   core::memory_part::eviction::all_holders,
+                                   core::boot_clock::now());
     }
     // Making room may have closed this connection.
     if (!open_)
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -339,3 +339,31 @@
     net.run_until([&] { return closed.has_value(); });
     REQUIRE(closed->detail == "the peer does not read");
 }
+
+// Guards against large frames of many peers that arrive at the same time.
+TEST_CASE("a long frame is read only when there is memory for it")
+{
+    acceptor_options options;
+    auto const memory =
+        std::make_shared<core::memory_part>(core::byte_count(1'000'000));
+    options.connection.memory = memory;
+    loopback net(options);
+    auto const client = net.connect();
+    client->start({});
+    core::held_memory other(memory);
+    other.resize(core::byte_count(800'000));
+    std::string const long_frame(500'000, 'x');
+    REQUIRE(client->send("short"));
+    REQUIRE(client->send(long_frame));
+    net.run_until([&] { return net.received_frames.size() == 1; });
+    net.context.restart();
+    net.context.run_for(std::chrono::milliseconds(200));
+    REQUIRE(net.received_frames.size() == 1);
+    REQUIRE(memory->used() == core::byte_count(800'000));
+    other.release();
+    net.run_until([&] { return net.received_frames.size() == 2; });
+    REQUIRE(net.received_frames.back() == long_frame);
+    REQUIRE(memory->used() == core::byte_count(0));
+    client->close_silently();
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -87,6 +87,7 @@
     http::exchange_options options;
     options.timeout = timeout;
     options.sizes.body = settings_.max_response_body;
+    options.memory = settings_.response_memory;
     options.is_head_request = request.method == "HEAD";
     auto bytes = http::serialize(request);
     auto connection = take_idle_connection();
--- a/src/upstream/worker_client.hpp
+++ b/src/upstream/worker_client.hpp
@@ -64,6 +64,8 @@
     // A larger response is a failure, so that a faulty worker cannot use up the
     // memory of the node.
     core::byte_count max_response_body{8UL * 1024 * 1024};
+    // Counts the responses while they arrive. May be null.
+    std::shared_ptr<core::memory_part> response_memory;
 };
 
 // Handle to one request at the worker. Its destruction does not end the
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -46,6 +46,7 @@
 {
     worker_client_settings out;
     out.max_response_body = it.max_response_body;
+    out.response_memory = it.response_memory;
     return out;
 }
 
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -47,6 +47,8 @@
     // Counts the runs of this worker.
     std::shared_ptr<retries::local_runs> local_runs =
         std::make_shared<retries::local_runs>();
+    // Counts the worker's responses while they arrive. May be null.
+    std::shared_ptr<core::memory_part> response_memory;
 };
 
 // Where a statement about the rate of the local worker comes from.
