--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -1,6 +1,8 @@
 // Runs the control thread: startup, signals, readiness and graceful shutdown.
 #include "node/run_node.hpp"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <memory>
 #include <optional>
@@ -35,6 +37,11 @@
 // callers and nodes.
 constexpr core::connection_count max_readiness_connections{64};
 
+// Larger blocks are returned to the operating system as soon as they are freed.
+// With the default, which adapts to the sizes in use, the process keeps the
+// memory of long responses that have been ended.
+constexpr int returned_block_size = 1024 * 1024;
+
 class node_process
 {
 public:
@@ -259,6 +266,7 @@
                         {{"reason", it.error().detail}});
         return run_outcome::settings_refused;
     }
+    ::mallopt(M_MMAP_THRESHOLD, returned_block_size);
     // While SIGPIPE is ignored, a write to a connection that the peer has
     // closed returns an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
