--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -404,9 +404,13 @@
     core::byte_count const size(response_head_.size() + response_body_.size());
     if (part)
     {
+        // A short response, such as a refusal, ends no reader that keeps up.
         // Without room, the response is held all the same: what is reserved for
         // responses that have not arrived takes no memory yet.
-        part->make_room(size, core::memory_part::eviction::all_holders,
+        part->make_room(size,
+                        size <= transport::max_unpaced_message
+                            ? core::memory_part::eviction::slow_holders
+                            : core::memory_part::eviction::all_holders,
                         response_started_at_);
     }
     response_memory_.set_part(part);
@@ -422,6 +426,7 @@
 void server_connection::free_response()
 {
     writing_ = false;
+    waits_for_link_since_.reset();
     response_head_ = {};
     response_body_ = {};
     response_memory_.release();
@@ -445,9 +450,12 @@
     auto const size = response_head_.size() + response_body_.size();
     auto const delivered = static_cast<std::uint64_t>(
         std::max<std::int64_t>(delivered_bytes(), 0));
+    auto const waited = waits_for_link_since_
+                            ? core::boot_clock::now() - *waits_for_link_since_
+                            : core::duration::zero();
     return {core::byte_count(delivered),
             core::byte_count(size - std::min<std::uint64_t>(delivered, size)),
-            response_started_at_};
+            response_started_at_ + waited};
 }
 
 void server_connection::check_response_progress()
@@ -457,6 +465,12 @@
         return;
     }
     auto const& settings = server_->settings_;
+    if (waits_for_link_since_)
+    {
+        delivered_at_last_check_.reset();
+        start_timeout(settings.transfer_window);
+        return;
+    }
     auto const delivered = delivered_bytes();
     auto const previous = std::exchange(delivered_at_last_check_, delivered);
     auto const min_progress = static_cast<std::int64_t>(
@@ -505,9 +519,13 @@
 
 void server_connection::write_next_part(bool close_after_write)
 {
+    waits_for_link_since_ = core::boot_clock::now();
     server_->settings_.link->request(
         *ticket_,
         [self = shared_from_this(), close_after_write](core::byte_count size) {
+            self->response_started_at_ +=
+                core::boot_clock::now() - *self->waits_for_link_since_;
+            self->waits_for_link_since_.reset();
             self->write_part(size.value(), close_after_write);
         });
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -167,7 +167,11 @@
     // Number of bytes of the current part that the kernel has accepted.
     std::size_t part_bytes_written_ = 0;
     core::held_memory response_memory_;
+    // When the transfer of the response began, moved by the time that it has
+    // waited for the link, which is not the reader's fault.
     core::instant response_started_at_{};
+    // Empty unless the response waits for a part of the link.
+    std::optional<core::instant> waits_for_link_since_;
     // The value of delivered_bytes() at the last check of the progress. Empty
     // until the first check.
     std::optional<std::int64_t> delivered_at_last_check_;
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -283,6 +283,31 @@
     REQUIRE(received < size);
 }
 
+// Guards against ending responses because the VM's link is busy.
+TEST_CASE("a response that waits for the link does not count as slow")
+{
+    kept_connection it;
+    server_settings settings;
+    settings.transfer_window = milliseconds(20);
+    transport::link_pacer_settings pacing;
+    pacing.bandwidth = core::bytes_per_second(1'000);
+    settings.link = std::make_shared<transport::paced_link>(
+        it.context().get_executor(), pacing);
+    it.receiver().set_settings(settings);
+    auto const counters = std::make_shared<connection_counters>();
+    it.receiver().set_counters(counters);
+    auto const reader = it.open_another();
+    boost::asio::write(*reader,
+                       boost::asio::buffer(serialize(get("/size/100000"))));
+    boost::asio::steady_timer many_windows(it.context(), milliseconds(300));
+    bool done = false;
+    many_windows.async_wait(
+        [&](boost::system::error_code const&) { done = true; });
+    it.run_until([&] { return done; });
+    REQUIRE(core::value_of(counters->slow_responses_ended) == 0);
+    REQUIRE(it.receiver().requests_open() == 1);
+}
+
 // Guards against a body of which one byte arrives at a time, each of which
 // restarts the timeout.
 TEST_CASE("a body that arrives below the minimum rate is rejected")
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -260,20 +260,32 @@
     auto const held = queued_bytes_ + admitted_frame_;
     auto const done = written_of_current_ + reader_.received() +
                       (paced_queue_.empty() ? 0 : paced_queue_.front().written);
+    auto const waited = part_requested_
+                            ? core::boot_clock::now() - part_requested_at_
+                            : core::duration::zero();
     return {core::byte_count(written + reader_.received()),
-            core::byte_count(held - std::min(held, done)), busy_since_};
+            core::byte_count(held - std::min(held, done)),
+            busy_since_ + waited};
 }
 
 void frame_connection::close_for_memory()
 {
-    core::log_event(core::log_level::warning, "frame_connection_ended",
-                    {{"remote", remote_},
-                     {"reason", "memory"},
-                     {"queued", queued_bytes_},
-                     {"receiving", admitted_frame_}});
+    log_end("memory");
     close({core::error_kind::io, "the memory for frames is used up"});
 }
 
+void frame_connection::log_end(char const* reason) const
+{
+    if (core::admit_request_line(core::request_event::exceptional))
+    {
+        core::log_event(core::log_level::warning, "frame_connection_ended",
+                        {{"remote", remote_},
+                         {"reason", reason},
+                         {"queued", queued_bytes_},
+                         {"receiving", admitted_frame_}});
+    }
+}
+
 void frame_connection::record_write_progress(std::size_t accepted)
 {
     written_of_current_ = accepted;
@@ -311,11 +323,7 @@
                  : core::duration::zero();
     if (since_progress >= options_.write_timeout)
     {
-        core::log_event(core::log_level::warning, "frame_connection_ended",
-                        {{"remote", remote_},
-                         {"reason", "slow_reader"},
-                         {"queued", queued_bytes_},
-                         {"receiving", admitted_frame_}});
+        log_end("slow_reader");
         close({core::error_kind::io, "the peer does not read"});
         return;
     }
@@ -346,8 +354,9 @@
 void frame_connection::wait_for_room()
 {
     room_timer_.expires_after(room_poll_interval);
-    room_timer_.async_wait([weak = weak_from_this()](error_code const& ec) {
-        if (auto const self = weak.lock(); self && !ec)
+    // As a pending read does, the timer keeps the connection alive.
+    room_timer_.async_wait([self = shared_from_this()](error_code const& ec) {
+        if (!ec)
         {
             // The peer has sent data that this node does not read.
             self->last_read_ = core::boot_clock::now();
@@ -441,9 +450,12 @@
     {
         return;
     }
+    part_requested_at_ = core::boot_clock::now();
     options_.link->request(paced_queue_.front().ticket,
                            [self = shared_from_this()](core::byte_count size) {
                                self->part_requested_ = false;
+                               self->busy_since_ += core::boot_clock::now() -
+                                                    self->part_requested_at_;
                                self->granted_part_ = size;
                                self->write();
                            });
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -149,6 +149,7 @@
     void count_memory();
     core::transfer_progress progress() const;
     void close_for_memory();
+    void log_end(char const* reason) const;
     void free_frames();
 
     boost::asio::ip::tcp::socket socket_;
@@ -163,6 +164,8 @@
     // Size of the part that the link has granted to the first paced frame.
     std::optional<core::byte_count> granted_part_;
     bool part_requested_ = false;
+    // When the part was requested that has not been granted yet.
+    core::instant part_requested_at_{};
     std::size_t queued_bytes_ = 0;
     // Bytes that the kernel has accepted of the current write.
     std::size_t written_of_current_ = 0;
@@ -172,7 +175,8 @@
     core::instant last_write_progress_{};
     // Length of the frame that is being received, if it is counted already.
     std::size_t admitted_frame_ = 0;
-    // When memory was last held for the first time, and total_written_ then.
+    // When memory was last held for the first time, moved by the time that a
+    // frame has waited for the link, and total_written_ at that time.
     core::instant busy_since_{};
     std::uint64_t written_when_busy_ = 0;
     bool write_check_scheduled_ = false;
