--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -72,7 +72,8 @@
 
 server_connection::~server_connection()
 {
-    set_idle(false);
+    phase_ = phase::closing;
+    update_list();
     set_counts_as_open(false);
     server_->counters_->open -= 1;
     server_->remove_connection(this);
@@ -90,13 +91,20 @@
         core::byte_count(parsed_bytes_ + unparsed_bytes_.size()));
 }
 
-void server_connection::set_idle(bool it)
+void server_connection::update_list()
 {
-    auto* const to = !it                 ? &idle_node_
-                     : has_made_request_ ? &server_->idle_after_request_
-                                         : &server_->idle_without_request_;
-    to->splice(to->end(), *idle_list_, idle_position_);
-    idle_list_ = to;
+    auto* to = &own_list_;
+    if (phase_ == phase::idle)
+    {
+        to = has_made_request_ ? &server_->idle_after_request_
+                               : &server_->idle_without_request_;
+    }
+    else if (phase_ == phase::head && !has_made_request_)
+    {
+        to = &server_->receiving_first_head_;
+    }
+    to->splice(to->end(), *list_, list_position_);
+    list_ = to;
 }
 
 void server_connection::set_counts_as_open(bool it)
@@ -110,7 +118,7 @@
 void server_connection::enter_phase(phase it)
 {
     phase_ = it;
-    set_idle(it == phase::idle);
+    update_list();
     switch (it)
     {
     case phase::idle:
@@ -616,6 +624,7 @@
         core::log_event(core::log_level::info, "idle_connection_closed",
                         {{"remote", remote_name(socket_)},
                          {"made_request", has_made_request_},
+                         {"receiving", phase_ == phase::head},
                          {"open", server_->connections()}});
     }
     close();
@@ -628,7 +637,7 @@
     auto const self = shared_from_this();
     open_ = false;
     phase_ = phase::closing;
-    set_idle(false);
+    update_list();
     free_response();
     unparsed_bytes_ = {};
     request_memory_.release();
@@ -731,11 +740,13 @@
 }
 
 // A connection on which no request has been made goes first, since callers
-// expect a connection that they have used to stay open.
+// expect a connection that they have used to stay open. One that sends its
+// first request goes last, since its caller may be about to complete it.
 bool server::close_idle_connection()
 {
-    auto const& from = idle_without_request_.empty() ? idle_after_request_
-                                                     : idle_without_request_;
+    auto const& from = !idle_without_request_.empty() ? idle_without_request_
+                       : !idle_after_request_.empty() ? idle_after_request_
+                                                      : receiving_first_head_;
     if (from.empty())
     {
         return false;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -90,7 +90,7 @@
     core::instant request_received_at() const { return request_received_at_; }
     bool idle() const { return phase_ == phase::idle; }
     void close();
-    // Closes the idle connection in favour of a new one.
+    // Closes the connection in favour of a new one.
     void give_way();
 
 private:
@@ -142,7 +142,9 @@
     void on_caller_disconnected();
     void start_lingering_close();
     void count_request_bytes();
-    void set_idle(bool it);
+    // Lists the connection among those that may give way to a new one, or among
+    // none.
+    void update_list();
     void set_counts_as_open(bool it);
 
     static constexpr std::size_t read_size = 8UL * 1024;
@@ -201,11 +203,12 @@
     // and the size of the body then.
     core::instant body_window_start_{};
     std::size_t body_size_at_window_start_ = 0;
-    // Invariant: in one of the server's lists while the connection is idle. At
-    // other times, idle_node_ is the list.
-    std::list<server_connection*> idle_node_{this};
-    std::list<server_connection*>::iterator idle_position_ = idle_node_.begin();
-    std::list<server_connection*>* idle_list_ = &idle_node_;
+    // Invariant: list_ is one of the server's lists while the connection is
+    // idle or receives the head of its first request, and own_list_ at other
+    // times.
+    std::list<server_connection*> own_list_{this};
+    std::list<server_connection*>::iterator list_position_ = own_list_.begin();
+    std::list<server_connection*>* list_ = &own_list_;
 };
 
 // Each instance must be used only on the thread that runs its io_context.
@@ -260,8 +263,8 @@
     core::result<void> open(core::endpoint const& at);
     void accept();
     void remove_connection(server_connection* it) { connections_.erase(it); }
-    // Closes the connection that gives way to a new one. Returns false if none
-    // is idle.
+    // Closes the connection that gives way to a new one. Returns false if there
+    // is none.
     bool close_idle_connection();
 
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -273,10 +276,12 @@
     // A connection removes itself from the set when it is destroyed.
     std::set<server_connection*> connections_;
     std::size_t requests_open_ = 0;
-    // The idle connections on which no request has been made, and the others.
-    // Invariant: those that have been idle for longest are at the front.
+    // The idle connections on which no request has been made, the other idle
+    // ones, and those that receive the head of their first request.
+    // Invariant: those that have been in the list for longest are at the front.
     std::list<server_connection*> idle_without_request_;
     std::list<server_connection*> idle_after_request_;
+    std::list<server_connection*> receiving_first_head_;
     std::shared_ptr<connection_counters> counters_ =
         std::make_shared<connection_counters>();
     core::instant last_request_received_at_{};
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -359,6 +359,28 @@
     REQUIRE(it.finish(*last, "TP/1.1\r\nHost: h\r\n\r\n").body == "/c");
 }
 
+// Guards against a crowd that begins requests and keeps all others out.
+TEST_CASE("an incomplete first request gives way if no connection is idle")
+{
+    kept_connection it;
+    server_settings settings;
+    settings.max_connections = core::connection_count(2);
+    it.receiver().set_settings(settings);
+    auto const first = it.open_another();
+    boost::asio::write(*first, boost::asio::buffer(std::string("GET /a HT")));
+    it.run_until([&] { return it.receiver().buffered_bytes().value() > 0; });
+    auto const second = it.open_another();
+    boost::asio::write(*second, boost::asio::buffer(std::string("GET /b HT")));
+    // The other connection has made no request and goes first.
+    it.run_until([&] { return it.receiver().buffered_bytes().value() > 9; });
+    auto const third = it.open_another();
+    std::size_t received = 0;
+    it.run_until([&] { return has_ended(*first, received); });
+    REQUIRE(it.finish(*second, "TP/1.1\r\nHost: h\r\n\r\n").body == "/b");
+    REQUIRE(it.finish(*third, "GET /c HTTP/1.1\r\nHost: h\r\n\r\n").body ==
+            "/c");
+}
+
 // Guards against a worker whose long responses all arrive at the same time.
 TEST_CASE("a client reads a long response only when there is memory for it")
 {
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -42,7 +42,8 @@
     // Counts the frames that are queued or being received, over all connections
     // that share it. If a frame to send has no room, the connections with the
     // slowest peers are closed. If a frame to receive has no room, it is left
-    // in the kernel's buffer until it has. Null if only queue_limit applies.
+    // in the kernel's buffer until it has. All of them must run on one thread.
+    // Null if only queue_limit applies.
     std::shared_ptr<core::memory_part> memory;
     // A connection is closed if its peer takes no byte of a frame for this
     // long. Zero disables the timeout.
