--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -307,14 +307,14 @@
     loopback net;
     connection_options options;
     options.memory =
-        std::make_shared<core::memory_part>(core::byte_count(20'000'000));
+        std::make_shared<core::memory_part>(core::byte_count(14'000'000));
     auto const client = net.connect(channel_kind::traffic, options);
     std::optional<core::error> closed;
     client->start(
         {nullptr, nullptr, [&](core::error const& it) { closed = it; }});
-    REQUIRE(client->send(std::string(12'000'000, 'x')));
-    REQUIRE(options.memory->used().value() > 12'000'000);
-    REQUIRE_FALSE(client->send(std::string(12'000'000, 'y')));
+    REQUIRE(client->send(std::string(8'000'000, 'x')));
+    REQUIRE(options.memory->used().value() > 8'000'000);
+    REQUIRE_FALSE(client->send(std::string(8'000'000, 'y')));
     REQUIRE(options.memory->used() == core::byte_count(0));
     net.run_until([&] { return closed.has_value(); });
 }
--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -60,7 +60,7 @@
                              metadata::header_codec header_codec,
                              worker_client_settings settings)
     : context_(context), endpoint_(std::move(endpoint)),
-      header_codec_(header_codec), settings_(settings)
+      header_codec_(header_codec), settings_(std::move(settings))
 {}
 
 std::shared_ptr<http::client_connection> worker_client::take_idle_connection()
