--- a/stand_ins/overload/tests/overload_test.cpp
+++ b/stand_ins/overload/tests/overload_test.cpp
@@ -240,25 +240,30 @@
     }
 
     // Each client asks for a long response, waits for its first bytes and asks
-    // again if it was refused.
-    void request_long_responses(std::size_t size = long_response)
+    // again if it was refused. Returns the ids of the refused requests.
+    std::vector<std::string>
+    request_long_responses(std::string const& name = "crowd",
+                           std::size_t size = long_response)
     {
+        std::vector<std::string> refused;
         int number = 0;
         for_each([&](raw_client& it) {
             for (int i = 0; i < max_tries; ++i)
             {
-                it.send(http::serialize(
-                    deployment::request(fmt::format("/look/x?size={}", size),
-                                        fmt::format("crowd{}", number++))));
+                auto const id = fmt::format("{}{}", name, number++);
+                it.send(http::serialize(deployment::request(
+                    fmt::format("/look/x?size={}", size), id)));
                 constexpr std::string_view refusal = "HTTP/1.1 503";
                 if (it.read(refusal.size()) != refusal)
                 {
                     return;
                 }
+                refused.push_back(id);
                 it.read(refusal_size);
                 std::this_thread::sleep_for(pause);
             }
         });
+        return refused;
     }
 
 private:
@@ -364,8 +369,28 @@
     constexpr std::size_t memory_mb = 200;
     small_deployment fleet(memory_mb, "link_mbps: 100\n");
     crowd clients(fleet.caller_endpoint(desk), small_crowd);
-    clients.request_long_responses(size);
+    clients.request_long_responses("crowd", size);
     fleet.check_nodes();
     fleet.check_ordinary_request(desk, "/look/ordinary?size=100000");
     fleet.check_nodes();
 }
+
+// Guards against calls that are refused for lack of memory after the worker has
+// run them.
+TEST_CASE("requests that are refused for lack of memory have not run")
+{
+    small_deployment fleet;
+    // The node learns the usual size of the responses from the first crowd.
+    crowd first(fleet.caller_endpoint(front), crowd_size);
+    first.request_long_responses("first");
+    crowd second(fleet.caller_endpoint(front), crowd_size);
+    auto const refused = second.request_long_responses("second");
+    auto const runs = fleet.worker(desk).counts().runs;
+    for (auto const& id : refused)
+    {
+        CAPTURE(id);
+        CHECK(runs.count(id) == 0);
+    }
+    WARN(refused.size() << " requests were refused");
+    fleet.check_nodes();
+}
