--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -1,6 +1,8 @@
 // Runs the control thread: startup, signals, readiness and graceful shutdown.
 #include "node/run_node.hpp"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <memory>
 #include <optional>
@@ -31,6 +33,15 @@
 
 constexpr core::milliseconds drain_poll_interval{100};
 
+// The platform's checks need one or two; the descriptors of others are left to
+// callers and nodes.
+constexpr core::connection_count max_readiness_connections{64};
+
+// Larger blocks are returned to the operating system as soon as they are freed.
+// With the default, which adapts to the sizes in use, the process keeps the
+// memory of long responses that have been ended.
+constexpr int returned_block_size = 1024 * 1024;
+
 class node_process
 {
 public:
@@ -84,6 +95,9 @@
             return tl::unexpected(readiness_server.error());
         }
         readiness_server_ = std::move(*readiness_server);
+        auto readiness_settings = readiness_server_->settings();
+        readiness_settings.max_connections = max_readiness_connections;
+        readiness_server_->set_settings(readiness_settings);
         control_ = std::make_shared<control_plane>(
             context_, settings_,
             [this](std::shared_ptr<ingress::traffic_view const> view) {
@@ -119,6 +133,7 @@
         it.view = control_->view();
         it.ingress_counters = traffic_.ingress_counters();
         it.upstream_counters = traffic_.upstream_counters();
+        it.memory = traffic_.memory();
         return it;
     }
 
@@ -251,6 +266,7 @@
                         {{"reason", it.error().detail}});
         return run_outcome::settings_refused;
     }
+    ::mallopt(M_MMAP_THRESHOLD, returned_block_size);
     // While SIGPIPE is ignored, a write to a connection that the peer has
     // closed returns an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -88,7 +88,7 @@
                              metadata::header_codec header_codec,
                              worker_client_settings settings)
     : context_(context), endpoint_(std::move(endpoint)),
-      header_codec_(header_codec), settings_(settings)
+      header_codec_(header_codec), settings_(std::move(settings))
 {}
 
 std::shared_ptr<http::client_connection> worker_client::take_idle_connection()
@@ -116,6 +116,7 @@
     http::exchange_options options;
     options.timeout = timeout;
     options.sizes.body = settings_.max_response_body;
+    options.memory = settings_.response_memory;
     options.is_head_request = request.method == "HEAD";
     auto bytes = http::serialize(request);
     auto connection = take_idle_connection();
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -71,6 +71,8 @@
     std::size_t most_cold_arrivals_in_a_second = 0;
 };
 
+// The target of a request may end in "size=N", which asks for a response whose
+// body has N bytes.
 class fake_worker
 {
 public:
@@ -101,7 +103,8 @@
     bool is_cold() const { return core::boot_clock::now() < cold_until_; }
     void record_cold_arrival();
     http::response make_health_response() const;
-    void finish_request(connection const& caller, std::string const& id);
+    void finish_request(connection const& caller, std::string const& id,
+                        std::size_t body_size);
     // The id is that of the request that is rejected, or empty.
     http::response make_rejection(int status, std::string const& id = {}) const;
     void add_statements(http::response& to) const;
