--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -349,6 +349,7 @@
         unknown_outcomes += it.status == 502 || it.status == 504 ? 1 : 0;
     }
     fleet.node(1).resume();
+    INFO(fleet.log(0));
     REQUIRE(unknown_outcomes == 0);
 }
 
