--- a/src/commands/commands.hpp
+++ b/src/commands/commands.hpp
@@ -10,6 +10,8 @@
                     output_streams& streams);
 exit_code run_diff(positional_arguments const& arguments,
                    output_streams& streams);
+exit_code run_precheck(positional_arguments const& arguments,
+                       output_streams& streams);
 exit_code run_node(positional_arguments const& arguments,
                    output_streams& streams);
 exit_code run_where(positional_arguments const& arguments,
--- a/src/commands/exit_code.hpp
+++ b/src/commands/exit_code.hpp
@@ -8,10 +8,11 @@
 enum class exit_code
 {
     success = 0,
-    // `check` found faults, `explain` found no route, or `trace` found no log
-    // line.
+    // `check` found faults, `precheck` has findings, `explain` found no route,
+    // or `trace` found no log line.
     negative_result = 1,
-    // `diff` was given invalid tables.
+    // `diff` was given invalid tables, or `precheck` a configuration that nodes
+    // refuse.
     invalid_tables = 2,
     // `where` found VMs on which the revision is not in force.
     rollout_incomplete = 3,
--- a/src/commands/flags.cpp
+++ b/src/commands/flags.cpp
@@ -2,6 +2,7 @@
 // command accepts.
 #include "commands/flags.hpp"
 
+DEFINE_string(configuration, "", "JSON file with an operator's configuration");
 DEFINE_bool(json, false, "print JSON instead of text");
 DEFINE_string(logs, "",
               "log files, separated by commas; default: standard input");
--- a/src/commands/table_files.cpp
+++ b/src/commands/table_files.cpp
@@ -1,4 +1,4 @@
-// Reads the table files for the commands that work without a node.
+// Reads files for the commands that work without a node.
 #include "commands/table_files.hpp"
 
 #include <array>
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr core::byte_count table_size_limit{tables::max_table_size};
+
 tl::unexpected<core::error> read_failure(std::string const& path)
 {
     return core::failure(
@@ -22,7 +24,10 @@
                     errno == 0 ? "read error" : std::strerror(errno)));
 }
 
-core::result<std::string> read_file(std::string const& path)
+} // namespace
+
+core::result<std::string> read_file(std::string const& path,
+                                    core::byte_count limit)
 {
     errno = 0;
     std::ifstream file(path, std::ios::binary);
@@ -30,7 +35,7 @@
     {
         return read_failure(path);
     }
-    std::string text(tables::max_table_size + 1, '\0');
+    std::string text(limit.value() + 1, '\0');
     file.read(text.data(), static_cast<std::streamsize>(text.size()));
     // Opening a directory succeeds, but reading from it fails.
     if (file.bad() || (file.fail() && !file.eof()))
@@ -41,16 +46,14 @@
     return text;
 }
 
-} // namespace
-
 core::result<tables::table_texts> read_table_files(std::string const& folder)
 {
-    auto routes = read_file(folder + "/routes.yaml");
+    auto routes = read_file(folder + "/routes.yaml", table_size_limit);
     if (!routes)
     {
         return tl::unexpected(routes.error());
     }
-    auto pools = read_file(folder + "/pools.yaml");
+    auto pools = read_file(folder + "/pools.yaml", table_size_limit);
     if (!pools)
     {
         return tl::unexpected(pools.error());
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -69,6 +69,14 @@
     std::string word;
 };
 
+// A target that gets no requests because its weight is 0. It is not among the
+// targets of the route. The service is empty if none is stated.
+struct unused_target
+{
+    core::route_name route;
+    core::service_name service;
+};
+
 // Limits on the size of a caller's requests, on the time in which the caller
 // has to send the header of a request, and on the time that its connection may
 // be idle.
@@ -98,6 +106,7 @@
     std::map<core::service_name, service> services;
     caller_limits limits;
     std::vector<unknown_kind> unknown_kinds;
+    std::vector<unused_target> unused_targets;
 };
 
 } // namespace yuccafall::routing
