--- a/src/commands/flags.cpp
+++ b/src/commands/flags.cpp
@@ -2,6 +2,7 @@
 // command accepts.
 #include "commands/flags.hpp"
 
+DEFINE_string(against, "", "JSON file with the configuration in force");
 DEFINE_string(configuration, "", "JSON file with an operator's configuration");
 DEFINE_bool(json, false, "print JSON instead of text");
 DEFINE_string(logs, "",
--- a/src/commands/flags.hpp
+++ b/src/commands/flags.hpp
@@ -4,6 +4,7 @@
 
 #include <gflags/gflags.h>
 
+DECLARE_string(against);
 DECLARE_string(configuration);
 DECLARE_bool(json);
 DECLARE_string(logs);
--- a/src/commands/tests/precheck_command_test.cpp
+++ b/src/commands/tests/precheck_command_test.cpp
@@ -63,3 +63,25 @@
     it = run({"precheck", "--configuration=/nonexistent"});
     REQUIRE(it.code == exit_code::unreadable_input);
 }
+
+// Guards against a configuration that is sent although nodes ignore it, and
+// against a script that takes an intended difference for a finding.
+TEST_CASE("precheck compares with the configuration in force")
+{
+    temporary_file const in_force(operator_configuration(R"([{"name":"s"}])"));
+    auto text = operator_configuration(R"([{"name":"s"}])", "/b/");
+    temporary_file const same_version(text);
+    text.replace(text.find(R"("version":7)"), 11, R"("version":8)");
+    temporary_file const next(text);
+
+    auto it = run({"precheck", "--configuration=" + next.path(),
+                   "--against=" + in_force.path()});
+    REQUIRE(it.code == exit_code::success);
+    REQUIRE(it.out == "route \"r\" removed\nroute \"r\" added\n");
+    it = run({"precheck", "--configuration=" + same_version.path(),
+              "--against=" + in_force.path()});
+    REQUIRE(it.code == exit_code::negative_result);
+    it = run({"precheck", "--configuration=" + next.path(),
+              "--against=/nonexistent"});
+    REQUIRE(it.code == exit_code::unreadable_input);
+}
