--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -361,6 +361,19 @@
     REQUIRE(f.queue->running() == 1);
 }
 
+// Pattern: workers that reject half of their calls although they have free
+// slots (nile-provident-grown). Guards against pauses in which their slots stay
+// unused while calls wait.
+TEST_CASE("a worker that rejects calls with free slots gets further calls")
+{
+    fixture f(3);
+    f.queue->handle(call_rejected{make_load(1)}, at(0));
+    REQUIRE(started(f.offer(1, 1)) == call_numbers{1});
+    // A worker that reports no free slot is full.
+    f.queue->handle(call_rejected{make_load(3)}, at(2));
+    REQUIRE(started(f.offer(2, 3)).empty());
+}
+
 TEST_CASE("a worker that has rejected a call gets no calls for a moment")
 {
     fixture f(2);
