--- a/src/admin/response_bodies.cpp
+++ b/src/admin/response_bodies.cpp
@@ -16,22 +16,6 @@
 // name in each data centre. The counts include all of them.
 constexpr std::size_t max_listed_laggards = 32;
 
-std::string_view name_of(routing::repeatability it)
-{
-    switch (it)
-    {
-    case routing::repeatability::idempotent:
-        return "idempotent";
-    case routing::repeatability::non_idempotent:
-        return "non_idempotent";
-    case routing::repeatability::upload:
-        return "upload";
-    case routing::repeatability::download:
-        return "download";
-    }
-    return "unknown";
-}
-
 json error_body(core::error_kind kind, std::string reason)
 {
     return {{"error", core::error_kind_info_for(kind).name},
--- a/src/precheck/compare_configurations.cpp
+++ b/src/precheck/compare_configurations.cpp
@@ -25,22 +25,6 @@
     return out;
 }
 
-std::string_view name_of(routing::repeatability it)
-{
-    switch (it)
-    {
-    case routing::repeatability::idempotent:
-        return "idempotent";
-    case routing::repeatability::non_idempotent:
-        return "non_idempotent";
-    case routing::repeatability::upload:
-        return "upload";
-    case routing::repeatability::download:
-        return "download";
-    }
-    return "unknown";
-}
-
 // The order of targets has no effect on their shares.
 std::string targets_text(routing::route const& route)
 {
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/ids.hpp"
@@ -32,6 +33,23 @@
     return it == repeatability::idempotent || it == repeatability::download;
 }
 
+// Returns the word that operators read.
+constexpr std::string_view name_of(repeatability it)
+{
+    switch (it)
+    {
+    case repeatability::idempotent:
+        return "idempotent";
+    case repeatability::non_idempotent:
+        return "non_idempotent";
+    case repeatability::upload:
+        return "upload";
+    case repeatability::download:
+        return "download";
+    }
+    return "unknown";
+}
+
 // A service that gets requests of a route. If a route has several targets,
 // their shares of the requests are proportional to their weights.
 struct target
