Admin: Serve the text of the configuration in force

Cause: an operator who wants to compare a configuration before sending it has to take the one in force from the store, and may take one that no node applies.

Change: GET /configuration returns the text of the configuration that the node has applied, from its copy of the store, so that nothing is kept twice. It answers 503 if the copy holds another text than the one in force.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -98,9 +98,22 @@
         handle_where(client, target);
         return;
     }
+    if (target.path == "/configuration")
+    {
+        handle_configuration(client);
+        return;
+    }
     client->send_response(make_empty_response(404));
 }
 
+void admin_server::handle_configuration(connection const& client)
+{
+    auto it = sources_.configuration();
+    client->send_response(
+        it ? make_response(std::move(*it), json_type)
+           : make_response(configuration_missing_body(), json_type, 503));
+}
+
 void admin_server::handle_where(connection const& client,
                                 http::parsed_target const& target)
 {
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -1,9 +1,13 @@
-// Serves the admin endpoint of a node: /metrics, /status, /explain and /where.
+// Serves the admin endpoint of a node: /metrics, /status, /explain, /where
+// and /configuration.
 #ifndef YUCCAFALL_ADMIN_ADMIN_SERVER_HPP
 #define YUCCAFALL_ADMIN_ADMIN_SERVER_HPP
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -26,6 +30,9 @@
     std::function<node_state()> state;
     // Returns all known nodes, including this one.
     std::function<std::vector<node_address>()> nodes;
+    // Returns the text of the configuration in force as the store holds it, or
+    // nothing if the node does not hold it.
+    std::function<std::optional<std::string>()> configuration;
 };
 
 // Each instance must be used only on the thread that runs its io_context, which
@@ -48,6 +55,7 @@
     using connection = std::shared_ptr<http::server_connection>;
 
     void handle(connection const& client, http::request const& it);
+    void handle_configuration(connection const& client);
     void handle_where(connection const& client,
                       http::parsed_target const& target);
 
--- a/src/admin/response_bodies.cpp
+++ b/src/admin/response_bodies.cpp
@@ -279,4 +279,13 @@
     return out.dump();
 }
 
+std::string configuration_missing_body()
+{
+    return nlohmann::json{
+        {"error", "no_configuration"},
+        {"reason", "the node has no configuration in force, or its copy of "
+                   "the store holds another one that it does not apply"}}
+        .dump();
+}
+
 } // namespace yuccafall::admin
--- a/src/admin/response_bodies.hpp
+++ b/src/admin/response_bodies.hpp
@@ -19,6 +19,9 @@
 
 std::string metrics_body(node_state const& it);
 
+// Says that the node does not hold the text of the configuration in force.
+std::string configuration_missing_body();
+
 // The part of a node's status that /where needs, as the node reported it.
 struct node_status
 {
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -311,6 +311,16 @@
                platform::parse_key(it.key));
 }
 
+std::optional<std::string> control_plane::configuration_in_force() const
+{
+    auto it = replicator_.state().find(applied_key_);
+    if (!it || it->revision != applied_revision_)
+    {
+        return std::nullopt;
+    }
+    return std::move(it->value);
+}
+
 void control_plane::apply_configuration(replication::store_item const& it)
 {
     if (it.deleted)
@@ -342,6 +352,8 @@
     }
     routes_ = std::make_shared<routing::route_index const>(
         std::make_shared<routing::configuration const>(std::move(*decoded)));
+    applied_key_ = it.key;
+    applied_revision_ = it.revision;
     applied_at_ = core::boot_clock::now();
     view_outdated_ = true;
     // The worker beside this node may still run calls of an earlier
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +51,10 @@
     {
         return view_;
     }
+    // Returns the text of the configuration in force as the store holds it.
+    // Returns nothing if there is none, or if the copy of the store holds
+    // another one that this node does not apply.
+    std::optional<std::string> configuration_in_force() const;
     // Returns the operators' endpoints of the nodes beside all known workers.
     std::vector<admin::node_address> nodes() const;
 
@@ -103,6 +108,10 @@
     bool view_outdated_ = false;
     bool store_reachable_ = true;
     std::uint64_t refused_configurations_ = 0;
+    // The item of the configuration in force. The text is not kept a second
+    // time.
+    std::string applied_key_;
+    core::revision applied_revision_;
     // When the configuration in force was applied.
     core::instant applied_at_{};
 };
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -105,7 +105,8 @@
             });
         auto admin_server = admin::admin_server::listen(
             context_, settings_.operators,
-            {[this] { return state(); }, [this] { return control_->nodes(); }});
+            {[this] { return state(); }, [this] { return control_->nodes(); },
+             [this] { return control_->configuration_in_force(); }});
         if (!admin_server)
         {
             return tl::unexpected(admin_server.error());
--- a/src/replication/published_state.cpp
+++ b/src/replication/published_state.cpp
@@ -9,6 +9,16 @@
 
 namespace yuccafall::replication {
 
+std::optional<store_item> published_state::find(std::string const& key) const
+{
+    auto const found = items_.find(key);
+    if (found == items_.end() || found->second.deleted)
+    {
+        return std::nullopt;
+    }
+    return store_item{key, found->second.value, found->second.revision};
+}
+
 merge_result published_state::apply(change_set const& changes)
 {
     bool const whole = changes.base.value() == 0;
--- a/src/replication/published_state.hpp
+++ b/src/replication/published_state.hpp
@@ -9,6 +9,7 @@
 #define YUCCAFALL_REPLICATION_PUBLISHED_STATE_HPP
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -75,6 +76,10 @@
     core::revision as_of() const { return as_of_; }
     bool empty() const { return as_of_.value() == 0; }
 
+    // Returns the item with the key, or nothing if there is none or it was
+    // deleted.
+    std::optional<store_item> find(std::string const& key) const;
+
     merge_result apply(change_set const& changes);
 
     // Returns the changes that a copy as of `base` is missing. Returns the
--- a/src/replication/tests/published_state_test.cpp
+++ b/src/replication/tests/published_state_test.cpp
@@ -38,6 +38,19 @@
     REQUIRE(updates.updates.front().deleted);
 }
 
+// Guards against a deleted item that is reported as present.
+TEST_CASE("find returns the newest item and no deleted one")
+{
+    published_state it;
+    it.apply(make_changes(0, 5, {written_item("a", 3), written_item("b", 5)}));
+    REQUIRE(it.find("a")->value == "3");
+    REQUIRE(it.find("a")->revision == core::revision(3));
+    REQUIRE_FALSE(it.find("c"));
+    it.apply(make_changes(0, 9, {written_item("a", 7)}));
+    REQUIRE(it.find("a")->revision == core::revision(7));
+    REQUIRE_FALSE(it.find("b"));
+}
+
 // Guards against a lost write: a page of the store that was read before the
 // write may arrive after it.
 TEST_CASE("an older item never replaces a newer one")
