Precheck: Compare with the version in force at a node, and print JSON

Cause: precheck compared two files only, showed no changed fields of services and no changed limits, and scripts had to parse its text.

--- a/src/commands/command_table.cpp
+++ b/src/commands/command_table.cpp
@@ -25,8 +25,9 @@
          run_diff},
         {"precheck",
          "check a configuration before it is sent to the store",
-         "precheck --configuration=FILE [--against=FILE]",
-         {{"configuration", true}, {"against"}},
+         "precheck --configuration=FILE [--against=FILE | --node=IP:PORT] "
+         "[--json]",
+         {{"configuration", true}, {"against"}, {"node"}, {"json"}},
          {},
          run_precheck},
         {"node",
--- a/src/commands/exit_code.hpp
+++ b/src/commands/exit_code.hpp
@@ -18,7 +18,8 @@
     rollout_incomplete = 3,
     usage = 64,
     unreadable_input = 66,
-    // The node did not respond, or its response was not as expected.
+    // The node did not respond, its response was not as expected, or it cannot
+    // say which configuration is in force.
     unavailable = 69,
     // The node could not bind one of its ports.
     start_failed = 71,
--- a/src/commands/precheck.cpp
+++ b/src/commands/precheck.cpp
@@ -1,11 +1,14 @@
 // Implements `precheck`, which checks an operator's configuration before it is
 // sent to the store. It sends nothing.
+#include <algorithm>
 #include <ostream>
 
 #include <fmt/ostream.h>
 
+#include "commands/admin_client.hpp"
 #include "commands/commands.hpp"
 #include "commands/flags.hpp"
+#include "commands/precheck_json.hpp"
 #include "commands/table_files.hpp"
 #include "platform/store_values.hpp"
 #include "precheck/check_configuration.hpp"
@@ -15,10 +18,25 @@
 
 namespace {
 
+using read_result = tl::expected<routing::configuration, exit_code>;
+
+// Prints the reason to the error stream if nodes refuse the configuration.
+// `source` names where the text is from.
+read_result decode(std::string const& text, std::string const& source,
+                   output_streams& streams)
+{
+    auto it = platform::decode_configuration(text);
+    if (!it)
+    {
+        fmt::print(streams.err, "{}: {}\n", source, it.error().detail);
+        return tl::unexpected(exit_code::invalid_tables);
+    }
+    return std::move(*it);
+}
+
 // Prints the reason to the error stream if the file cannot be read or nodes
 // refuse the configuration.
-tl::expected<routing::configuration, exit_code>
-read_configuration(std::string const& path, output_streams& streams)
+read_result read_configuration(std::string const& path, output_streams& streams)
 {
     auto const text = read_file(path, max_configuration_file_size);
     if (!text)
@@ -32,42 +50,78 @@
                    max_configuration_file_size.value());
         return tl::unexpected(exit_code::unreadable_input);
     }
-    auto it = platform::decode_configuration(*text);
-    if (!it)
+    return decode(*text, path, streams);
+}
+
+// Asks the node for the configuration in force there.
+read_result request_configuration(std::string const& node,
+                                  output_streams& streams)
+{
+    auto const response = send_admin_request(node, {"/configuration", {}});
+    if (!response)
     {
-        fmt::print(streams.err, "{}: {}\n", path, it.error().detail);
-        return tl::unexpected(exit_code::invalid_tables);
+        fmt::print(streams.err, "yuccafall: {}\n", response.error().detail);
+        return tl::unexpected(response.error().kind ==
+                                      core::error_kind::bad_request
+                                  ? exit_code::usage
+                                  : exit_code::unavailable);
     }
-    return std::move(*it);
+    auto const reason = response->json.find("reason");
+    if (response->json.contains("error"))
+    {
+        fmt::print(streams.err, "yuccafall: node {}: {}\n", node,
+                   reason == response->json.end() ? "no configuration"
+                                                  : plain_text(*reason));
+        return tl::unexpected(exit_code::unavailable);
+    }
+    return decode(response->body, "node " + node, streams);
 }
 
-// Returns whether any of the differences is a fault. The others are what the
-// operator intends to send.
-bool print_differences(std::vector<precheck::difference> const& differences,
-                       output_streams& streams)
+void print_text(std::vector<precheck::finding> const& findings,
+                std::vector<precheck::difference> const& differences,
+                std::ostream& out)
 {
-    bool has_fault = false;
+    for (auto const& it : findings)
+    {
+        fmt::print(out, "{}\n", precheck::to_text(it));
+    }
     for (auto const& it : differences)
     {
-        fmt::print(streams.out, "{}\n", precheck::to_text(it));
-        has_fault |= std::holds_alternative<precheck::version_not_higher>(it);
+        fmt::print(out, "{}\n", precheck::to_text(it));
     }
-    return has_fault;
+}
+
+// Returns whether any of the differences is a fault. The others are what the
+// operator intends to send.
+bool has_fault(std::vector<precheck::difference> const& differences)
+{
+    return std::any_of(
+        differences.begin(), differences.end(), [](auto const& it) {
+            return std::holds_alternative<precheck::version_not_higher>(it);
+        });
 }
 
 } // namespace
 
 exit_code run_precheck(positional_arguments const&, output_streams& streams)
 {
+    if (!FLAGS_against.empty() && !FLAGS_node.empty())
+    {
+        fmt::print(streams.err,
+                   "yuccafall: --against and --node exclude each other\n");
+        return exit_code::usage;
+    }
     auto const proposed = read_configuration(FLAGS_configuration, streams);
     if (!proposed)
     {
         return proposed.error();
     }
     std::vector<precheck::difference> differences;
-    if (!FLAGS_against.empty())
+    if (!FLAGS_against.empty() || !FLAGS_node.empty())
     {
-        auto const in_force = read_configuration(FLAGS_against, streams);
+        auto const in_force = FLAGS_node.empty()
+                                  ? read_configuration(FLAGS_against, streams)
+                                  : request_configuration(FLAGS_node, streams);
         if (!in_force)
         {
             return in_force.error();
@@ -75,13 +129,19 @@
         differences = precheck::compare_configurations(*in_force, *proposed);
     }
     auto const findings = precheck::check_configuration(*proposed);
-    for (auto const& it : findings)
+    if (FLAGS_json)
+    {
+        nlohmann::json const object{{"findings", to_json(findings)},
+                                    {"differences", to_json(differences)}};
+        fmt::print(streams.out, "{}\n", object.dump());
+    }
+    else
     {
-        fmt::print(streams.out, "{}\n", precheck::to_text(it));
+        print_text(findings, differences, streams.out);
     }
-    bool const has_fault = print_differences(differences, streams);
-    return findings.empty() && !has_fault ? exit_code::success
-                                          : exit_code::negative_result;
+    return findings.empty() && !has_fault(differences)
+               ? exit_code::success
+               : exit_code::negative_result;
 }
 
 } // namespace yuccafall::commands
--- a/src/commands/tests/precheck_command_test.cpp
+++ b/src/commands/tests/precheck_command_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "commands/tests/fake_node.hpp"
 #include "commands/tests/run_command_line.hpp"
 #include "platform/tests/operator_configuration.hpp"
 
@@ -85,3 +86,49 @@
               "--against=/nonexistent"});
     REQUIRE(it.code == exit_code::unreadable_input);
 }
+
+// Guards against a comparison with a file that is no longer in force, and
+// against a node that cannot say what is in force being taken for one without
+// differences.
+TEST_CASE("precheck compares with the configuration in force at a node")
+{
+    auto text = operator_configuration(R"([{"name":"s"}])", "/b/");
+    text.replace(text.find(R"("version":7)"), 11, R"("version":8)");
+    temporary_file const next(text);
+    auto const flag = "--configuration=" + next.path();
+
+    fake_node node(operator_configuration(R"([{"name":"s"}])"));
+    auto it = run({"precheck", flag, node.flag()});
+    REQUIRE(it.code == exit_code::success);
+    REQUIRE(it.out == "route \"r\" removed\nroute \"r\" added\n");
+    REQUIRE(node.request_line() == "GET /configuration HTTP/1.1");
+
+    fake_node without(R"({"error":"no_configuration","reason":"none yet"})");
+    it = run({"precheck", flag, without.flag()});
+    REQUIRE(it.code == exit_code::unavailable);
+    REQUIRE(it.out.empty());
+    REQUIRE(it.err.find("none yet") != std::string::npos);
+
+    it = run(
+        {"precheck", flag, "--node=127.0.0.1:1", "--against=" + next.path()});
+    REQUIRE(it.code == exit_code::usage);
+}
+
+// Guards against a script that has to parse the text for operators.
+TEST_CASE("precheck prints findings and differences as JSON")
+{
+    temporary_file const in_force(operator_configuration(R"([{"name":"s"}])"));
+    temporary_file const next(
+        operator_configuration(R"([{"name":"s"},{"name":"t"}])"));
+    auto const it = run({"precheck", "--configuration=" + next.path(),
+                         "--against=" + in_force.path(), "--json"});
+    REQUIRE(it.code == exit_code::negative_result);
+    REQUIRE(it.out ==
+            R"({"differences":[{"change":"version_not_higher","message":)"
+            R"("version 7 is not higher than 7, which is in force; nodes )"
+            R"(ignore it"},{"change":"service_added","message":)"
+            R"("service \"t\" added","service":"t"}],"findings":[{"finding":)"
+            R"("unused_service","message":"service \"t\": no route has it as )"
+            R"(a target","service":"t"}]})"
+            "\n");
+}
--- a/src/precheck/compare_configurations.cpp
+++ b/src/precheck/compare_configurations.cpp
@@ -42,30 +42,78 @@
     return out;
 }
 
+std::string to_text(core::milliseconds it)
+{
+    return fmt::format("{}ms", it.count());
+}
+
+std::string to_text(core::byte_count it)
+{
+    return fmt::format("{}B", it.value());
+}
+
+// Appends the field if its texts differ.
+void compare_field(char const* field, std::string before, std::string after,
+                   std::vector<field_change>& out)
+{
+    if (before != after)
+    {
+        out.push_back({field, std::move(before), std::move(after)});
+    }
+}
+
 std::vector<field_change> changed_fields(routing::route const& before,
                                          routing::route const& after)
 {
     std::vector<field_change> out;
-    auto const compare = [&](char const* field, std::string a, std::string b) {
-        if (a != b)
-        {
-            out.push_back({field, std::move(a), std::move(b)});
-        }
-    };
-    auto const ms = [](core::milliseconds it) {
-        return fmt::format("{}ms", it.count());
-    };
-    compare("name", before.name.value(), after.name.value());
-    compare("kind", std::string(name_of(before.kind)),
-            std::string(name_of(after.kind)));
-    compare("timeout", ms(before.timeout), ms(after.timeout));
-    compare("target latency", ms(before.target_latency),
-            ms(after.target_latency));
-    compare("rank", std::to_string(before.rank.value()),
-            std::to_string(after.rank.value()));
-    compare("attempts", std::to_string(before.attempts.value()),
-            std::to_string(after.attempts.value()));
-    compare("targets", targets_text(before), targets_text(after));
+    compare_field("name", before.name.value(), after.name.value(), out);
+    compare_field("kind", std::string(name_of(before.kind)),
+                  std::string(name_of(after.kind)), out);
+    compare_field("timeout", to_text(before.timeout), to_text(after.timeout),
+                  out);
+    compare_field("target latency", to_text(before.target_latency),
+                  to_text(after.target_latency), out);
+    compare_field("rank", std::to_string(before.rank.value()),
+                  std::to_string(after.rank.value()), out);
+    compare_field("attempts", std::to_string(before.attempts.value()),
+                  std::to_string(after.attempts.value()), out);
+    compare_field("targets", targets_text(before), targets_text(after), out);
+    return out;
+}
+
+// The text is empty if the service has no cold rate.
+std::string warm_up_text(routing::service const& it)
+{
+    if (!it.warm_up)
+    {
+        return {};
+    }
+    return fmt::format("{}/s for {}",
+                       static_cast<double>(it.warm_up->rate.value()) / 1'000,
+                       to_text(it.warm_up->duration));
+}
+
+std::vector<field_change> changed_fields(routing::service const& before,
+                                         routing::service const& after)
+{
+    std::vector<field_change> out;
+    compare_field("health path", before.health_path, after.health_path, out);
+    compare_field("cold rate", warm_up_text(before), warm_up_text(after), out);
+    return out;
+}
+
+std::vector<field_change> changed_fields(routing::caller_limits const& before,
+                                         routing::caller_limits const& after)
+{
+    std::vector<field_change> out;
+    compare_field("header size", to_text(before.max_header_bytes),
+                  to_text(after.max_header_bytes), out);
+    compare_field("body size", to_text(before.max_body_bytes),
+                  to_text(after.max_body_bytes), out);
+    compare_field("header timeout", to_text(before.header_timeout),
+                  to_text(after.header_timeout), out);
+    compare_field("idle timeout", to_text(before.idle_timeout),
+                  to_text(after.idle_timeout), out);
     return out;
 }
 
@@ -114,15 +162,36 @@
     }
     for (auto const& name : names)
     {
-        if (in_force.services.count(name) == 0)
+        auto const before = in_force.services.find(name);
+        auto const after = proposed.services.find(name);
+        if (before == in_force.services.end())
         {
             out.emplace_back(service_added{name});
+            continue;
         }
-        else if (proposed.services.count(name) == 0)
+        if (after == proposed.services.end())
         {
             out.emplace_back(service_removed{name});
+            continue;
         }
+        auto fields = changed_fields(before->second, after->second);
+        if (!fields.empty())
+        {
+            out.emplace_back(service_changed{name, std::move(fields)});
+        }
+    }
+}
+
+std::string to_text(std::vector<field_change> const& fields)
+{
+    std::string out;
+    for (auto const& it : fields)
+    {
+        out += fmt::format("{}{} {} -> {}", out.empty() ? "" : ", ", it.field,
+                           it.before.empty() ? "none" : it.before,
+                           it.after.empty() ? "none" : it.after);
     }
+    return out;
 }
 
 struct describe
@@ -143,15 +212,8 @@
     }
     std::string operator()(route_changed const& it) const
     {
-        auto out = fmt::format("route \"{}\" changed:", it.route.value());
-        char const* separator = " ";
-        for (auto const& change : it.fields)
-        {
-            out += fmt::format("{}{} {} -> {}", separator, change.field,
-                               change.before, change.after);
-            separator = ", ";
-        }
-        return out;
+        return fmt::format("route \"{}\" changed: {}", it.route.value(),
+                           to_text(it.fields));
     }
     std::string operator()(service_added const& it) const
     {
@@ -161,6 +223,15 @@
     {
         return fmt::format("service \"{}\" removed", it.service.value());
     }
+    std::string operator()(service_changed const& it) const
+    {
+        return fmt::format("service \"{}\" changed: {}", it.service.value(),
+                           to_text(it.fields));
+    }
+    std::string operator()(limits_changed const& it) const
+    {
+        return fmt::format("limits changed: {}", to_text(it.fields));
+    }
 };
 
 } // namespace
@@ -177,6 +248,11 @@
     }
     compare_routes(in_force, proposed, out);
     compare_services(in_force, proposed, out);
+    auto fields = changed_fields(in_force.limits, proposed.limits);
+    if (!fields.empty())
+    {
+        out.emplace_back(limits_changed{std::move(fields)});
+    }
     return out;
 }
 
--- a/src/precheck/compare_configurations.hpp
+++ b/src/precheck/compare_configurations.hpp
@@ -53,11 +53,24 @@
     core::service_name service;
 };
 
+struct service_changed
+{
+    core::service_name service;
+    std::vector<field_change> fields;
+};
+
+// The limits for callers.
+struct limits_changed
+{
+    std::vector<field_change> fields;
+};
+
 using difference = std::variant<version_not_higher, route_added, route_removed,
-                                route_changed, service_added, service_removed>;
+                                route_changed, service_added, service_removed,
+                                service_changed, limits_changed>;
 
 // Returns the version first, then the routes by host and prefix, then the
-// services by name.
+// services by name, then the limits for callers.
 std::vector<difference>
 compare_configurations(routing::configuration const& in_force,
                        routing::configuration const& proposed);
--- a/src/precheck/tests/compare_configurations_test.cpp
+++ b/src/precheck/tests/compare_configurations_test.cpp
@@ -73,3 +73,18 @@
                   "route \"b\" removed", "route \"c\" added",
                   "service \"t\" removed", "service \"u\" added"});
 }
+
+// Guards against a changed cold rate or limit that the operator does not see.
+TEST_CASE("changed fields of services and limits are listed")
+{
+    auto const before = make_configuration(7);
+    auto after = make_configuration(8);
+    after.services[core::service_name("s")] = {
+        "/health", core::warm_up_limits{core::millihertz(16'500),
+                                        core::milliseconds(3'000)}};
+    after.limits.max_body_bytes = core::byte_count(5);
+    REQUIRE(texts_of(before, after) ==
+            texts{"service \"s\" changed: health path none -> /health, cold "
+                  "rate none -> 16.5/s for 3000ms",
+                  "limits changed: body size 67108864B -> 5B"});
+}
