Transport: Deliver all frames that have arrived in one turn

Cause: a connection delivered one frame per read and then queued the next read behind the handlers that the frame had posted. A message took effect although the message that revokes it was already in the receive buffer.

Change: when a connection becomes readable, it delivers the frames that are in the kernel's buffer before it waits again, up to 64 frames or 256 kB, so that one peer cannot keep the thread.

--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -30,6 +30,11 @@
 // Largest number of bytes that are passed to the kernel at once.
 constexpr std::size_t max_write_size = 256UL * 1024;
 
+// Limits on what one connection delivers before other handlers of the thread
+// run. Frames of a call are some hundred bytes long, apart from its body.
+constexpr std::size_t max_frames_per_turn = 64;
+constexpr std::size_t max_bytes_per_turn = 256UL * 1024;
+
 core::error io_error(std::string_view operation, error_code const& ec)
 {
     return {core::error_kind::io,
@@ -367,7 +372,7 @@
 
 void frame_connection::read()
 {
-    if (!open_ || paused_ || !started_ || reading_)
+    if (!may_read() || reading_)
     {
         return;
     }
@@ -386,38 +391,72 @@
     socket_.async_read_some(
         asio::buffer(space.data, space.size),
         [self = shared_from_this()](error_code const& ec, std::size_t n) {
-            self->reading_ = false;
             if (ec)
             {
+                self->reading_ = false;
                 self->close(io_error("read failed", ec));
                 return;
             }
             self->handle_read(n);
+            self->read_arrived();
+            self->reading_ = false;
+            self->read();
         });
 }
 
-void frame_connection::handle_read(std::size_t n)
+// Delivers the frames that are in the kernel's buffer, within the limits of one
+// turn. A frame that revokes an earlier one is thus delivered before a handler
+// that the earlier one has posted.
+void frame_connection::read_arrived()
+{
+    if (!may_read())
+    {
+        return;
+    }
+    error_code ec;
+    // Reading this many bytes does not block. The next read() reports an error.
+    auto const arrived = std::min(socket_.available(ec), max_bytes_per_turn);
+    std::size_t bytes = 0;
+    std::size_t frames = 0;
+    while (bytes < arrived && frames < max_frames_per_turn && may_read() &&
+           has_room_for_frame() && open_)
+    {
+        auto const space = reader_.prepare();
+        auto const n =
+            socket_.read_some(asio::buffer(space.data, space.size), ec);
+        if (ec)
+        {
+            close(io_error("read failed", ec));
+            return;
+        }
+        bytes += n;
+        frames += handle_read(n) ? 1 : 0;
+    }
+}
+
+bool frame_connection::handle_read(std::size_t n)
 {
     last_read_ = core::boot_clock::now();
     auto frame = reader_.commit(n);
     if (!frame)
     {
         close(std::move(frame.error()));
-        return;
+        return false;
     }
-    if (*frame && open_)
+    if (!*frame || !open_)
     {
-        admitted_frame_ = 0;
-        count_memory();
-        record_activity();
-        // The handler is copied because it may replace handlers_.
-        auto const received = handlers_.received;
-        if (received)
-        {
-            received(std::move(**frame));
-        }
+        return false;
     }
-    read();
+    admitted_frame_ = 0;
+    count_memory();
+    record_activity();
+    // The handler is copied because it may replace handlers_.
+    auto const received = handlers_.received;
+    if (received)
+    {
+        received(std::move(**frame));
+    }
+    return true;
 }
 
 // A part that the link has granted goes first, since the link counts it as sent
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -91,7 +91,7 @@
     core::instant last_read() const { return last_read_; }
 
     // Stops reading, so that the peer's frames stay in the kernel's buffer
-    // until resume(). A read that is already pending is still delivered.
+    // until resume(). A read that is already pending still delivers a frame.
     void pause();
     void resume();
 
@@ -132,12 +132,15 @@
     };
 
     void read();
+    void read_arrived();
+    bool may_read() const { return open_ && !paused_ && started_; }
     void write();
     void write_short_frame();
     void request_part();
     void write_part();
     void handle_part_written(std::size_t n);
-    void handle_read(std::size_t n);
+    // Returns whether the bytes have completed a frame.
+    bool handle_read(std::size_t n);
     void handle_written(std::size_t n);
     void record_activity();
     void check_idle_timeout();
@@ -191,7 +194,9 @@
     bool open_ = true;
     bool started_ = false;
     bool paused_ = false;
-    // Invariant: at most one read and one write are pending.
+    // Invariant: at most one read and one write are pending. A read is pending
+    // until the frames that arrived with it have been delivered, so that a
+    // handler of a frame that calls resume() is not called again from within.
     bool reading_ = false;
     bool writing_ = false;
 };
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -91,6 +92,12 @@
     asio::write(socket, asio::buffer(bytes), ignored);
 }
 
+std::string framed(std::string const& frame)
+{
+    auto const header = encode_frame_length(frame.size());
+    return std::string(header.begin(), header.end()) + frame;
+}
+
 asio::ip::tcp::socket raw_socket(loopback& it)
 {
     asio::ip::tcp::socket socket(it.context);
@@ -197,6 +204,65 @@
     client->close_silently();
 }
 
+// Guards against a message that takes effect although the message that revokes
+// it has already arrived behind it on the same connection.
+TEST_CASE("frames that have arrived together are delivered in one turn")
+{
+    loopback net;
+    auto socket = raw_socket(net);
+    send_raw(socket, framed(std::string(1, '\1')));
+    net.run_until([&] { return net.server != nullptr; });
+    std::vector<std::string> events;
+    net.server->start({[&](std::string const& frame) {
+                           events.push_back(frame);
+                           asio::post(net.context, [&, frame] {
+                               events.push_back("posted by " + frame);
+                           });
+                           // Reading on must not deliver a frame within the
+                           // handler of another.
+                           net.server->resume();
+                           events.push_back("end of " + frame);
+                       },
+                       nullptr, nullptr});
+    send_raw(socket, framed("a") + framed("b"));
+    net.run_until([&] { return events.size() == 6; });
+    REQUIRE(events == std::vector<std::string>{"a", "end of a", "b", "end of b",
+                                               "posted by a", "posted by b"});
+    net.server->close_silently();
+}
+
+// Guards against a peer that sends without pause and keeps the handlers of all
+// others from running.
+TEST_CASE("a turn delivers a limited number of frames")
+{
+    loopback net;
+    auto socket = raw_socket(net);
+    send_raw(socket, framed(std::string(1, '\1')));
+    net.run_until([&] { return net.server != nullptr; });
+    constexpr std::size_t frame_count = 1'000;
+    std::size_t received = 0;
+    std::size_t received_before_other = 0;
+    net.server->start({[&](std::string const&) {
+                           if (received++ == 0)
+                           {
+                               asio::post(net.context, [&] {
+                                   received_before_other = received;
+                               });
+                           }
+                       },
+                       nullptr, nullptr});
+    std::string bytes;
+    for (std::size_t n = 0; n < frame_count; ++n)
+    {
+        bytes += framed("x");
+    }
+    send_raw(socket, bytes);
+    net.run_until([&] { return received == frame_count; });
+    REQUIRE(received_before_other > 0);
+    REQUIRE(received_before_other < frame_count / 2);
+    net.server->close_silently();
+}
+
 TEST_CASE("an idle connection is closed")
 {
     acceptor_options options;
