Upstream: Do not start a call whose cancel has already arrived

Cause: the owner node sent a call to its worker as soon as the slot queue started it, although the cancel could be behind the offer in the receive buffer, or in the buffer of another connection when the end of a run let the call start.

Change: a start is delayed by two posted handlers, so that the sockets that are ready by then are read first. A call that is canceled in between, or whose session closes, is not sent, and its slot is released. A call in between is refused when the node drains, the worker leaves or its data centre is evacuated, like calls that wait.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -115,6 +115,9 @@
           [this](admission::cold_rate_changed const& it) {
               handle_event(it);
           })),
+      pending_starts_(std::make_shared<pending_starts>(
+          context.get_executor(),
+          [this](call_key const& key) { start_run(key, calls_.at(key)); })),
       load_publisher_(
           std::make_shared<load_publisher>(context, [this] { return load(); })),
       local_runs_(settings.local_runs), crash_detector_(settings.incarnation),
@@ -218,10 +221,16 @@
 {
     core::add(counters_->canceled);
     call.canceled = true;
+    if (pending_starts_->remove(key))
+    {
+        remove_unsent(key);
+        handle_event(admission::run_ended{
+            key, admission::run_result::incomplete, core::byte_count(0)});
+        return;
+    }
     if (!call.run)
     {
-        call_keys_.erase({call.session, call.offer.call});
-        calls_.erase(key);
+        remove_unsent(key);
         handle_event(admission::call_canceled{key});
         return;
     }
@@ -231,6 +240,15 @@
     }
 }
 
+worker_owner::call_entry worker_owner::remove_unsent(call_key const& key)
+{
+    auto const found = calls_.find(key);
+    auto out = std::move(found->second);
+    calls_.erase(found);
+    call_keys_.erase({out.session, out.offer.call});
+    return out;
+}
+
 void worker_owner::on_session_closed(session_id closed_session)
 {
     load_publisher_->unsubscribe(closed_session);
@@ -244,7 +262,12 @@
     }
     for (auto const& key : keys)
     {
-        cancel(key, calls_.at(key));
+        // The slot of a call that is canceled may let the queue refuse others.
+        auto const found = calls_.find(key);
+        if (found != calls_.end())
+        {
+            cancel(key, found->second);
+        }
     }
 }
 
@@ -280,14 +303,14 @@
     }
     if (workers_.all_evacuated())
     {
-        handle_event(admission::drain_started{error_kind::evacuated});
+        start_refusing(error_kind::evacuated);
         return;
     }
     // Calls that wait for a draining worker are refused, since another worker
     // can run them sooner.
     if (workers_.all_leave(core::boot_clock::now()))
     {
-        handle_event(admission::drain_started{});
+        start_refusing(error_kind::leaving);
         return;
     }
     handle_event(admission::drain_ended{});
@@ -314,13 +337,31 @@
 {
     if (!std::exchange(draining_, true))
     {
-        handle_event(admission::drain_started{});
+        start_refusing(error_kind::leaving);
+    }
+}
+
+void worker_owner::start_refusing(error_kind kind)
+{
+    handle_event(admission::drain_started{kind});
+    for (auto const& key : pending_starts_->remove_all())
+    {
+        refuse_pending_start(key, kind);
     }
 }
 
+void worker_owner::refuse_pending_start(call_key const& key, error_kind kind)
+{
+    auto const call = remove_unsent(key);
+    handle_event(admission::run_ended{key, admission::run_result::incomplete,
+                                      core::byte_count(0)});
+    refuse(call, kind, {}, false);
+}
+
 void worker_owner::close()
 {
     queue_timer_.cancel();
+    pending_starts_->remove_all();
     warm_up_->close();
     load_publisher_->close();
     worker_client_->close();
@@ -355,15 +396,12 @@
     {
         core::add(counters_->cold_waited);
     }
-    start_run(it.call, calls_.at(it.call));
+    pending_starts_->add(it.call);
 }
 
 void worker_owner::apply(admission::refuse_call const& it)
 {
-    auto const found = calls_.find(it.call);
-    auto const call = std::move(found->second);
-    calls_.erase(found);
-    call_keys_.erase({call.session, call.offer.call});
+    auto const call = remove_unsent(it.call);
     if (it.due_to_cold_rate)
     {
         core::add(counters_->cold_refused);
@@ -375,6 +413,14 @@
 // connection would end it if the worker has it after all.
 void worker_owner::apply(admission::call_lost const& it)
 {
+    // If the thread was delayed, the queue may miss a call at the worker that
+    // has not been sent yet. Its slot is given away, so it is not sent any
+    // more.
+    if (pending_starts_->remove(it.call))
+    {
+        refuse_pending_start(it.call, error_kind::overloaded);
+        return;
+    }
     auto& call = calls_.at(it.call);
     call.lost = true;
     core::add(counters_->lost);
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -30,6 +30,7 @@
 #include "upstream/counters.hpp"
 #include "upstream/load_publisher.hpp"
 #include "upstream/local_workers.hpp"
+#include "upstream/pending_starts.hpp"
 #include "upstream/worker_client.hpp"
 #include "upstream/worker_warm_up.hpp"
 
@@ -103,7 +104,7 @@
     balancing::load_report load() const;
 
 private:
-    // A call that waits or runs.
+    // A call that waits, is about to be sent to the worker, or runs.
     struct call_entry
     {
         session_id session;
@@ -111,7 +112,7 @@
         reply_function reply;
         core::instant deadline;
         poison::fingerprint fingerprint;
-        // Empty while the call waits.
+        // Empty until the call is sent to the worker.
         std::optional<worker_run> run;
         core::instant started_at{};
         bool canceled = false;
@@ -146,6 +147,12 @@
     void refuse(call_entry const& call, core::error_kind kind,
                 core::milliseconds retry_after, bool reached_worker);
     void cancel(call_key const& key, call_entry& call);
+    // Refuses waiting calls and new calls with this kind from now on, and those
+    // that the queue has started but that have not been sent to the worker.
+    void start_refusing(core::error_kind kind);
+    void refuse_pending_start(call_key const& key, core::error_kind kind);
+    // Removes a call that has not been sent to the worker.
+    call_entry remove_unsent(call_key const& key);
     // Records whether the worker turned a call away or left it without a
     // response.
     void update_rejection_share(bool rejected);
@@ -174,6 +181,9 @@
     // Maps the call id that a session uses to the key of the call.
     std::map<std::pair<session_id, core::call_id>, call_key> call_keys_;
     std::uint64_t last_call_key_ = 0;
+    // Invariant: each of these calls is in calls_, has no run, and holds a slot
+    // of queue_.
+    std::shared_ptr<pending_starts> pending_starts_;
     std::shared_ptr<load_publisher> load_publisher_;
     std::shared_ptr<retries::local_runs> local_runs_;
     poison::crash_detector crash_detector_;
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -243,6 +243,11 @@
     return {vms_[vm].address, ports_[admin_port].port()};
 }
 
+core::endpoint deployment::traffic_endpoint(std::size_t vm) const
+{
+    return {vms_[vm].address, ports_[traffic_port].port()};
+}
+
 core::endpoint deployment::readiness_endpoint(std::size_t vm) const
 {
     return {vms_[vm].address, ports_[readiness_port].port()};
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -87,6 +87,7 @@
 
     core::endpoint caller_endpoint(std::size_t vm) const;
     core::endpoint admin_endpoint(std::size_t vm) const;
+    core::endpoint traffic_endpoint(std::size_t vm) const;
     core::endpoint readiness_endpoint(std::size_t vm) const;
     std::string log(std::size_t vm) const;
 
