Admission: Ask a worker that has become slow whether it is cold

A worker that became cold without an event got calls at full rate until its entry in the store stated a cold time, which takes up to 1.5 s and the delay of the store.

Its service times double. The state does not change until the response.

The fake worker can become cold without a restart.

--- a/src/admission/tests/warm_up_monitor_test.cpp
+++ b/src/admission/tests/warm_up_monitor_test.cpp
@@ -228,6 +228,70 @@
     REQUIRE(it.handle(3'001, call_arrived{}));
 }
 
+// Guards against a worker that becomes cold without an event and keeps its full
+// rate.
+TEST_CASE("a worker that has become slow is limited if it states a cold time")
+{
+    fixture it;
+    it.make_warm(0);
+    REQUIRE(it.handle(1'000, service_slowed{}));
+    REQUIRE_FALSE(it.is_limited());
+    REQUIRE_FALSE(it.handle(1'002, health_answered{milliseconds(700)}));
+    REQUIRE(it.state() == "cold");
+    REQUIRE(it.monitor.next_timer() == at(1'702));
+}
+
+// Guards against a worker that is slow for another reason and is limited, or is
+// asked again and again.
+TEST_CASE("a slow worker that is not cold is only asked once in 5 s")
+{
+    fixture it;
+    it.make_warm(0);
+    REQUIRE_FALSE(it.handle(299, service_slowed{}));
+    REQUIRE(it.handle(1'000, service_slowed{}));
+    SECTION("and states that it is warm")
+    {
+        REQUIRE(it.monitor.handle(health_answered{}, at(1'002)).empty());
+    }
+    SECTION("and does not answer")
+    {
+        REQUIRE(it.monitor.handle(health_failed{}, at(1'400)).empty());
+    }
+    REQUIRE_FALSE(it.monitor.next_timer());
+    REQUIRE_FALSE(it.handle(5'999, service_slowed{}));
+    REQUIRE(it.handle(6'000, service_slowed{}));
+    REQUIRE(it.state() == "warm");
+}
+
+// Guards against a crash that is forgotten because the worker was being asked
+// for another reason.
+TEST_CASE("a doubt takes effect while a slow worker is asked")
+{
+    fixture it;
+    it.make_warm(0);
+    REQUIRE(it.handle(1'000, service_slowed{}));
+    it.handle(1'001, state_doubted{warm_up_source::connection_lost});
+    REQUIRE(it.is_limited());
+    REQUIRE_FALSE(it.handle(1'002, health_answered{milliseconds(700)}));
+    REQUIRE(it.state() == "unknown");
+    REQUIRE(it.handle(1'300, warm_up_timer_expired{}));
+}
+
+// Guards against health requests to a worker that is limited already, or that
+// has no path to be asked at.
+TEST_CASE("a slow worker that does not count as warm is not asked")
+{
+    fixture it;
+    REQUIRE_FALSE(it.handle(0, service_slowed{}));
+    REQUIRE(it.handle(0, call_arrived{}));
+    it.handle(2, health_answered{milliseconds(700)});
+    REQUIRE_FALSE(it.handle(500, service_slowed{}));
+    it.handle(702, warm_up_timer_expired{});
+    it.handle(703, service_configured{limits, false});
+    REQUIRE_FALSE(it.handle(10'000, service_slowed{}));
+    REQUIRE(it.state() == "warm");
+}
+
 // Guards against a service whose workers stay limited for ever, because they
 // cannot be asked.
 TEST_CASE("without a health path a doubt limits the worker for its cold time")
@@ -339,6 +403,8 @@
         handle(state_doubted{warm_up_source::connection_lost});
     }
 
+    void slow_down() { handle(service_slowed{}); }
+
     bool within_bound() const { return within_bound_; }
 
 private:
@@ -491,7 +557,8 @@
                                                 {2, 5},
                                                 {2, 6},
                                                 {2, 7},
-                                                {2, 8}}))
+                                                {2, 8},
+                                                {2, 9}}))
         {
         case 0:
             node.offer(number % 40);
@@ -524,6 +591,9 @@
             node.set_response_delay(milliseconds(1 + number % 450),
                                     number % 5 == 0);
             break;
+        case 9:
+            node.slow_down();
+            break;
         default:
             node.reset_connection();
             break;
--- a/src/admission/warm_up_monitor.cpp
+++ b/src/admission/warm_up_monitor.cpp
@@ -211,11 +211,26 @@
     last_contact_ = now;
 }
 
+// The worker counts as warm until it responds to the health request. A doubt
+// that has not taken effect causes a request of its own.
+void warm_up_monitor::on(service_slowed const&, core::instant now, actions& out)
+{
+    bool const is_allowed =
+        !slow_requested_at_ ||
+        now - *slow_requested_at_ >= settings_.min_slow_request_interval;
+    if (!is<warm>() || doubt_ || !is_allowed || !may_request(now))
+    {
+        return;
+    }
+    slow_requested_at_ = now;
+    send_request(now, out);
+}
+
 void warm_up_monitor::on(health_answered const& it, core::instant now,
                          actions& out)
 {
     request_under_way_ = false;
-    if (!is<warm_up_unknown>())
+    if (is<cold_rate_absent>() || is<cold_until>())
     {
         return;
     }
@@ -225,7 +240,8 @@
     trusted_until_ =
         requested_at_.value_or(now) + settings_.min_request_interval;
     bool const is_cold = it.cold_remaining > core::milliseconds(0);
-    if (doubt_ && (is_cold || response_outdated_ || now >= trusted_until_))
+    if (is<warm_up_unknown>() && doubt_ &&
+        (is_cold || response_outdated_ || now >= trusted_until_))
     {
         // The response may be from before the doubt.
         doubt_.reset();
@@ -239,7 +255,10 @@
                   warm_up_source::health_response, out);
         return;
     }
-    set_state(warm{}, warm_up_source::health_response, out);
+    if (!is<warm>())
+    {
+        set_state(warm{}, warm_up_source::health_response, out);
+    }
 }
 
 void warm_up_monitor::on(health_failed const&, core::instant, actions&)
@@ -265,16 +284,24 @@
     }
 }
 
-void warm_up_monitor::request_if_due(core::instant now, actions& out)
+bool warm_up_monitor::may_request(core::instant now) const
 {
     bool const is_allowed =
         !requested_at_ ||
         now - *requested_at_ >= settings_.min_request_interval;
-    if (!is<warm_up_unknown>() || !request_wanted_ || request_under_way_ ||
-        !is_allowed || !has_health_path_)
+    return is_allowed && !request_under_way_ && has_health_path_;
+}
+
+void warm_up_monitor::request_if_due(core::instant now, actions& out)
+{
+    if (is<warm_up_unknown>() && request_wanted_ && may_request(now))
     {
-        return;
+        send_request(now, out);
     }
+}
+
+void warm_up_monitor::send_request(core::instant now, actions& out)
+{
     requested_at_ = now;
     request_under_way_ = true;
     request_wanted_ = false;
--- a/src/admission/warm_up_monitor.hpp
+++ b/src/admission/warm_up_monitor.hpp
@@ -5,8 +5,9 @@
 // requests to a worker pass through the node beside it, so this class alone
 // decides whether the cold rate is in force. The worker's health responses are
 // immediate and current, but costly. They are therefore requested only if an
-// event makes the state unknown. An entry in the store may be seconds old; it
-// can cause a health request but never ends the cold rate.
+// event makes the state unknown, or if the worker has become slow. An entry in
+// the store may be seconds old; it can cause a health request but never ends
+// the cold rate.
 //
 // A doubt is an event after which the worker may be another process, or may
 // have become cold again.
@@ -96,6 +97,10 @@
 // The worker has responded to a call.
 struct call_answered
 {};
+// The worker takes longer than usual for its calls, as it does while it is
+// cold.
+struct service_slowed
+{};
 struct health_answered
 {
     // How much longer the worker is cold, or zero.
@@ -110,7 +115,8 @@
 using warm_up_event =
     std::variant<service_configured, limits_offered, worker_listed,
                  state_doubted, call_arrived, calls_wait, call_answered,
-                 health_answered, health_failed, warm_up_timer_expired>;
+                 service_slowed, health_answered, health_failed,
+                 warm_up_timer_expired>;
 
 // Actions that the calling code carries out after each event.
 // Asks the calling code to request a health response. A health_answered or
@@ -136,6 +142,10 @@
     // A warm worker that has answered no call for this long is in doubt. It may
     // have crashed unnoticed, because no connection to it was in use.
     core::milliseconds max_silence{2'000};
+    // Health requests because the worker has become slow are at least this far
+    // apart. A worker may be slow for another reason, and each request costs
+    // about a third of a response.
+    core::milliseconds min_slow_request_interval{5'000};
 };
 
 class warm_up_monitor
@@ -167,6 +177,7 @@
     void on(call_arrived const&, core::instant now, actions& out);
     void on(calls_wait const&, core::instant now, actions& out);
     void on(call_answered const&, core::instant now, actions& out);
+    void on(service_slowed const&, core::instant now, actions& out);
     void on(health_answered const& it, core::instant now, actions& out);
     void on(health_failed const&, core::instant now, actions& out);
     void on(warm_up_timer_expired const&, core::instant now, actions& out);
@@ -184,6 +195,10 @@
     void apply_doubt(core::instant now, actions& out);
     // Requests a health response if one is wanted and may be requested now.
     void request_if_due(core::instant now, actions& out);
+    // Returns whether no health request is under way and the most recent one
+    // was sent long enough ago.
+    bool may_request(core::instant now) const;
+    void send_request(core::instant now, actions& out);
 
     warm_up_settings settings_;
     warm_up_state state_ = cold_rate_absent{};
@@ -202,6 +217,8 @@
     core::instant last_contact_{};
     // When the most recent health request was sent.
     std::optional<core::instant> requested_at_;
+    // When the most recent one was sent because the worker had become slow.
+    std::optional<core::instant> slow_requested_at_;
     bool request_under_way_ = false;
     // A doubt arose while the request was under way, so that its response may
     // be from before the worker became cold.
--- a/src/upstream/worker_warm_up.cpp
+++ b/src/upstream/worker_warm_up.cpp
@@ -100,6 +100,16 @@
     handle_event(admission::call_answered{});
 }
 
+void worker_warm_up::record_answered_run(admission::answered_run const& it)
+{
+    record_response();
+    if (std::holds_alternative<admission::warm>(monitor_.state()) &&
+        slowdown_detector_.observe(it, core::boot_clock::now()))
+    {
+        handle_event(admission::service_slowed{});
+    }
+}
+
 void worker_warm_up::record_doubt(admission::warm_up_source cause)
 {
     handle_event(admission::state_doubted{cause});
@@ -147,6 +157,10 @@
 
 void worker_warm_up::apply(admission::state_changed const& it)
 {
+    if (std::holds_alternative<admission::warm>(it.state))
+    {
+        slowdown_detector_.start(core::boot_clock::now());
+    }
     auto const rate = monitor_.rate_in_force();
     auto const limit = core::limit_of(rate).value_or(core::millihertz(0));
     auto const ends_at = end_of(it.state);
--- a/src/upstream/worker_warm_up.hpp
+++ b/src/upstream/worker_warm_up.hpp
@@ -1,6 +1,6 @@
 // Keeps the cold rate of the local worker: passes events to the warm-up
-// monitor, requests the worker's health responses, and logs and counts what
-// comes of it.
+// monitor and the worker's service times to the slowdown detector, requests the
+// worker's health responses, and logs and counts what comes of it.
 #ifndef YUCCAFALL_UPSTREAM_WORKER_WARM_UP_HPP
 #define YUCCAFALL_UPSTREAM_WORKER_WARM_UP_HPP
 
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/queue_messages.hpp"
+#include "admission/slowdown_detector.hpp"
 #include "admission/warm_up_monitor.hpp"
 #include "routing/configuration.hpp"
 #include "upstream/counters.hpp"
@@ -45,7 +46,10 @@
     void
     record_offer(std::optional<core::warm_up_limits> const& offered_limits);
     void set_calls_wait(bool calls_wait);
+    // Records that the worker has responded to a call.
     void record_response();
+    // Records that it has done so after it has run the call.
+    void record_answered_run(admission::answered_run const& it);
     // Records an event after which the worker may be cold.
     void record_doubt(admission::warm_up_source cause);
     void close();
@@ -64,6 +68,7 @@
     std::shared_ptr<counters> counters_;
     rate_handler on_rate_changed_;
     admission::warm_up_monitor monitor_;
+    admission::slowdown_detector slowdown_detector_;
     std::string health_path_;
     // Ids of the listed workers whose data centre is evacuated.
     std::set<core::upstream_id> evacuated_;
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -123,6 +123,14 @@
     thread_.invoke([&] { options_.cold_time = cold_time; });
 }
 
+void fake_worker::become_cold(core::milliseconds cold_time)
+{
+    thread_.invoke([&] {
+        cold_until_ = core::boot_clock::now() + cold_time;
+        last_cold_arrivals_.clear();
+    });
+}
+
 worker_counts fake_worker::counts()
 {
     return thread_.invoke([&] { return counts_; });
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -93,6 +93,9 @@
     // that was set since.
     void restart();
     void set_cold_time(core::milliseconds cold_time);
+    // The worker is cold for this time from now on, without a crash. No event
+    // shows it.
+    void become_cold(core::milliseconds cold_time);
     worker_counts counts();
 
 private:
--- a/stand_ins/tests/cold_worker_test.cpp
+++ b/stand_ins/tests/cold_worker_test.cpp
@@ -23,8 +23,9 @@
 class cold_deployment : public deployment
 {
 public:
-    cold_deployment(core::milliseconds cold_time, double rate)
-        : deployment({{"a", "shop", 6, core::milliseconds(5), cold_time},
+    cold_deployment(core::milliseconds cold_time, double rate,
+                    core::milliseconds service_time = core::milliseconds(5))
+        : deployment({{"a", "shop", 6, service_time, cold_time},
                       {"a", "desk", 6, core::milliseconds(5)},
                       {"b", "desk", 6, core::milliseconds(5)}},
                      {{"/look/", "idempotent", "shop", 2'000, 500, 1, rate}})
@@ -159,3 +160,32 @@
             200);
     REQUIRE(fleet.worker(0).counts().health_requests == 2);
 }
+
+// Guards against a worker that becomes cold without an event and gets its full
+// rate until its entry in the store shows it.
+TEST_CASE("a worker that becomes cold without an event is asked once")
+{
+    // Long compared with the time that the node needs for a call, so that the
+    // time of a call doubles as well.
+    constexpr core::milliseconds service_time{40};
+    cold_deployment fleet(core::milliseconds(0), cold_per_s, service_time);
+    auto const call = [&](std::string const& id) {
+        return fleet.call(1, deployment::request("/look/", id)).status;
+    };
+    // More calls than the node needs to know the usual service time.
+    for (int i = 0; i < 40; ++i)
+    {
+        REQUIRE(call(fmt::format("warm-{}", i)) == 200);
+    }
+    auto const before = fleet.worker(0).counts().health_requests;
+    fleet.worker(0).become_cold(always);
+    std::string const is_cold = "state=cold source=health_response";
+    // Longer than the least time between two health requests to a slow worker.
+    for (int i = 0; i < 200 && fleet.log(0).find(is_cold) == std::string::npos;
+         ++i)
+    {
+        call(fmt::format("cold-{}", i));
+    }
+    REQUIRE(fleet.log(0).find(is_cold) != std::string::npos);
+    REQUIRE(fleet.worker(0).counts().health_requests == before + 1);
+}
