Balancing: Choose the upstream of a call by the wait of its rank

Cause: a load report states the wait behind all waiting calls. The choice used it for every call that is not nested, although an urgent call goes ahead of less urgent ones, so urgent calls crossed data centres or counted as impossible to serve.

Change: the queue estimates the wait of a new call for each rank of which calls wait, the load report states these waits in an appended element (waits_by_rank), and upstream_scores uses the wait of the call's rank. A change of these waits alone sends no report.

--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -488,8 +488,10 @@
         balancing::call_traits const traits{
             route.name,
             core::byte_count(static_cast<std::uint64_t>(call->body_bytes)),
-            call->body_bytes > max_inline_body_bytes, call->nested,
-            is_paced(spec_.request_kinds[call->kind_index].response_bytes)};
+            call->body_bytes > max_inline_body_bytes,
+            call->nested,
+            is_paced(spec_.request_kinds[call->kind_index].response_bytes),
+            route.rank};
         auto const choice = caller_node.scores.choose(
             upstreams_.at(route.targets.front().service), call->tried_upstreams,
             traits, events_.now(), random_);
@@ -872,6 +874,7 @@
                                           worker_node.response_pacer.backlog() +
                                           queue.expected_response_time()));
         it.body_rate = queue.body_rate();
+        it.waits_by_rank = queue.waits_by_rank(events_.now());
         return it;
     }
 
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -27,6 +27,7 @@
 #include "admission/response_sizes.hpp"
 #include "admission/running_calls.hpp"
 #include "admission/service_times.hpp"
+#include "balancing/load_report.hpp"
 #include "core/ids.hpp"
 #include "core/units.hpp"
 
@@ -89,6 +90,13 @@
     // behind all of them (back).
     core::milliseconds wait_for_nested(core::instant now) const;
     core::milliseconds wait_at_back(core::instant now) const;
+    // Returns the same for a new call of the rank that is neither nested nor
+    // late. It goes behind the nested calls, the calls of more urgent ranks and
+    // the calls of its rank that are not late.
+    core::milliseconds wait_for(core::rank rank, core::instant now) const;
+    // Returns the same for each rank of which calls wait that are not nested,
+    // for the most urgent of them if there are more than max_rank_waits.
+    std::vector<balancing::rank_wait> waits_by_rank(core::instant now) const;
     // Returns the expected time until the bodies of all waiting calls have
     // arrived, including those that have not been requested yet.
     core::milliseconds wait_for_bodies() const;
--- a/src/admission/slot_queue_waits.cpp
+++ b/src/admission/slot_queue_waits.cpp
@@ -2,6 +2,7 @@
 // refuses calls.
 #include <algorithm>
 #include <limits>
+#include <set>
 
 #include "admission/slot_queue.hpp"
 
@@ -39,6 +40,36 @@
     return to_milliseconds(expected_wait({}, now));
 }
 
+core::milliseconds slot_queue::wait_for(core::rank rank,
+                                        core::instant now) const
+{
+    precedence const last_in_time{true, rank, false, core::instant::max()};
+    return to_milliseconds(expected_wait(last_in_time, now));
+}
+
+std::vector<balancing::rank_wait>
+slot_queue::waits_by_rank(core::instant now) const
+{
+    std::set<core::rank> ranks;
+    for (auto const& [call, it] : waiting_)
+    {
+        if (!it.job.nested)
+        {
+            ranks.insert(it.job.rank);
+        }
+    }
+    std::vector<balancing::rank_wait> out;
+    for (auto const rank : ranks)
+    {
+        if (out.size() == balancing::max_rank_waits)
+        {
+            break;
+        }
+        out.push_back({rank, wait_for(rank, now)});
+    }
+    return out;
+}
+
 core::duration
 slot_queue::expected_wait(std::optional<precedence> const& position,
                           core::instant now) const
--- a/src/admission/tests/slot_queue_test.cpp
+++ b/src/admission/tests/slot_queue_test.cpp
@@ -729,6 +729,52 @@
     REQUIRE(f.queue->wait_at_back(at(0)) > behind_nested);
 }
 
+// Pattern: urgent requests during a burst of less urgent ones. Guards against a
+// reported wait that puts an urgent call behind the burst, so that it is sent
+// to another data centre.
+TEST_CASE("the wait of a rank leaves out less urgent calls that wait")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    auto const front = f.queue->wait_for(core::rank(0), at(0));
+    REQUIRE(f.queue->waits_by_rank(at(0)).empty());
+    job_options patient;
+    patient.target_latency = 5'000;
+    patient.deadline = 9'000;
+    patient.rank = 2;
+    for (std::uint64_t n = 2; n < 6; ++n)
+    {
+        f.offer(n, 0, patient);
+    }
+    REQUIRE(f.queue->wait_for(core::rank(1), at(0)) == front);
+    auto const burst = f.queue->wait_for(core::rank(2), at(0));
+    REQUIRE(burst >= front + milliseconds(400));
+    patient.rank = 1;
+    f.offer(6, 0, patient);
+    auto const waits = f.queue->waits_by_rank(at(0));
+    REQUIRE(waits.size() == 2);
+    REQUIRE(waits[0].rank == core::rank(1));
+    REQUIRE(waits[0].wait == f.queue->wait_for(core::rank(1), at(0)));
+    REQUIRE(waits[1].wait == f.queue->wait_at_back(at(0)));
+}
+
+// Pattern: callers of one rank that come back late. Guards against a wait that
+// puts a call in time behind late calls of its rank, which it goes ahead of.
+TEST_CASE("the wait of a rank leaves out late calls of the rank")
+{
+    fixture f(1);
+    f.offer(1, 0);
+    auto const front = f.queue->wait_for(core::rank(1), at(0));
+    job_options soon_late;
+    soon_late.target_latency = 300;
+    f.offer(2, 0, soon_late);
+    REQUIRE(f.queue->wait_for(core::rank(1), at(0)) > front);
+    REQUIRE(f.queue->waiting() == 1);
+    REQUIRE(f.queue->wait_for(core::rank(1), at(290)) <= front);
+    REQUIRE(f.queue->wait_at_back(at(290)) >=
+            f.queue->wait_for(core::rank(1), at(290)) + milliseconds(100));
+}
+
 // Pattern: a burst of claims whose target latency is beyond their timeout
 // (further-grown, trouble-1). They were never late by their target, waited for
 // nearly all of their timeout and failed in a slot.
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -443,3 +443,48 @@
         REQUIRE(std::get<chosen>(it).target->id == own.id);
     }
 }
+
+// Pattern: urgent requests during a burst of less urgent ones. Guards against
+// urgent calls that cross data centres, where a worker is farther away, because
+// less urgent calls wait at the near one.
+TEST_CASE("an urgent call goes to the nearest worker although less urgent "
+          "calls wait there")
+{
+    fixture f;
+    auto report = full_worker_report(400);
+    report.wait_for_nested = milliseconds(5);
+    f.scores->record_report(core::upstream_id("near"), report, at(0));
+    f.scores->record_report(core::upstream_id("far"), full_worker_report(60),
+                            at(0));
+    std::vector<upstream> const workers{make_upstream("near"),
+                                        make_upstream("far", "b")};
+    call_traits urgent;
+    urgent.rank = core::rank(1);
+    REQUIRE(f.count_calls(workers, 0, urgent).at("far") == 200);
+
+    report.waits_by_rank = {{core::rank(2), milliseconds(400)}};
+    f.scores->record_report(core::upstream_id("near"), report, at(0));
+    REQUIRE(f.count_calls(workers, 0, urgent).at("near") == 200);
+    call_traits less_urgent;
+    less_urgent.rank = core::rank(2);
+    REQUIRE(f.count_calls(workers, 0, less_urgent).at("far") == 200);
+}
+
+// Guards against a rank without waiting calls that counts as the most or the
+// least urgent one, and against nested calls that lose their place.
+TEST_CASE("a rank that a report does not list has the next more urgent wait")
+{
+    auto report = full_worker_report(400);
+    report.wait_for_nested = milliseconds(5);
+    auto const wait = [&](std::uint32_t rank, bool nested = false) {
+        return wait_for_call(report, nested, core::rank(rank)).count();
+    };
+    REQUIRE(wait(0) == 400);
+    report.waits_by_rank = {{core::rank(1), milliseconds(50)},
+                            {core::rank(4), milliseconds(300)}};
+    REQUIRE(wait(0) == 5);
+    REQUIRE(wait(1) == 50);
+    REQUIRE(wait(3) == 50);
+    REQUIRE(wait(9) == 300);
+    REQUIRE(wait(9, true) == 5);
+}
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -218,8 +218,7 @@
                               duration_from_ms(expected_run_time_ms), now)
                         : load.running.value() + load.waiting.value());
     out.free_slots = slots - open_calls;
-    auto const reported_wait =
-        traits.nested ? load.wait_for_nested : load.wait_at_back;
+    auto const reported_wait = wait_for_call(load, traits.nested, traits.rank);
     auto const remaining_wait = std::max<core::duration>(
         reported_wait - (now - state.reported_at), core::duration::zero());
     if (open_calls >= slots)
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "balancing/expected_load.hpp"
+#include "balancing/load_report.hpp"
 #include "core/endpoint.hpp"
 #include "core/ids.hpp"
 #include "core/random.hpp"
@@ -42,38 +43,6 @@
     core::slot_count slots{1};
 };
 
-// The load of a worker. The node beside the worker sends it with each response
-// or refusal, and when the load changes.
-struct load_report
-{
-    core::slot_count running;
-    core::queue_length waiting;
-    core::slot_count slots;
-    // Expected time until a slot is free for a new nested call, which goes
-    // behind the nested calls that wait and ahead of all others, and for a new
-    // call behind all of them (back).
-    core::milliseconds wait_for_nested{0};
-    core::milliseconds wait_at_back{0};
-    // Expected time until the link of the worker's VM has carried the long
-    // bodies of all calls that wait or run, and the rate at which it carries
-    // them. Both directions count, and the longer one determines the time. The
-    // rate is 0 if it is not known.
-    core::milliseconds wait_for_bodies{0};
-    core::bytes_per_second body_rate{0};
-    // Current service time as a percentage of the usual one. A slow worker has
-    // more than 100.
-    core::percentage relative_service_time{100};
-    // Percentage of the recent calls to the worker that it rejected or left
-    // without a response.
-    core::percentage rejection_share;
-    // The two waits above include the time until the rate allows a call.
-    core::stated_rate rate;
-    // The rate that the node beside the worker keeps to because the worker is
-    // or may be cold, or rate_unknown if it keeps to none. The two waits above
-    // include it.
-    core::stated_rate cold_rate;
-};
-
 // How a call that was sent to an upstream ended.
 enum class outcome
 {
@@ -154,6 +123,9 @@
     // True if the response is expected to be long, so that it waits until the
     // link of the worker's VM has carried those before it.
     bool long_response = false;
+    // Urgency of the call's route. It decides how long a call waits that is not
+    // nested.
+    core::rank rank;
 };
 
 // Not thread-safe: each object is used on one thread only, the traffic thread,
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -236,7 +236,9 @@
     balancing::call_traits const traits{route_->name,
                                         core::byte_count(request_.body.size()),
                                         request_.body.size() > max_inline_body,
-                                        nested_, expects_long_response()};
+                                        nested_,
+                                        expects_long_response(),
+                                        route_->rank};
     auto const found = ingress_->upstream_scores_.choose(
         *upstreams_, excluded_upstreams(), traits, now, ingress_->random_);
     std::visit(
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -83,9 +83,16 @@
     write_field(to, it.duration);
 }
 
+void write_field(frame_writer& to, balancing::rank_wait const& it)
+{
+    to.array(2);
+    to.number(it.rank.value());
+    write_field(to, it.wait);
+}
+
 void write_field(frame_writer& to, balancing::load_report const& it)
 {
-    to.array(11);
+    to.array(it.waits_by_rank.empty() ? 11 : 12);
     to.number(it.running.value());
     to.number(it.waiting.value());
     to.number(it.slots.value());
@@ -97,6 +104,14 @@
     to.number(it.rejection_share.value());
     write_field(to, it.rate);
     write_field(to, it.cold_rate);
+    if (!it.waits_by_rank.empty())
+    {
+        to.array(it.waits_by_rank.size());
+        for (auto const& wait : it.waits_by_rank)
+        {
+            write_field(to, wait);
+        }
+    }
 }
 
 core::call_id read_call_id(frame_elements& from)
@@ -164,6 +179,22 @@
     return out.rate.value() == 0 ? std::nullopt : std::optional(out);
 }
 
+// Ranks beyond the maximum that this version sends are ignored.
+std::vector<balancing::rank_wait> read_rank_waits(frame_elements& from)
+{
+    auto it = from.array();
+    std::vector<balancing::rank_wait> out;
+    while (it.good() && it.remaining() > 0 &&
+           out.size() < balancing::max_rank_waits)
+    {
+        auto pair = it.array();
+        auto const rank = read_uint32<core::rank>(pair);
+        out.push_back({rank, read_duration(pair)});
+        pair.expect_end();
+    }
+    return out;
+}
+
 balancing::load_report read_load(frame_elements& from)
 {
     auto it = from.array();
@@ -183,6 +214,10 @@
     {
         out.cold_rate = read_rate(it);
     }
+    if (it.remaining() > 0)
+    {
+        out.waits_by_rank = read_rank_waits(it);
+    }
     // A newer version may append elements, which are ignored.
     return out;
 }
--- a/src/peers/tests/codec_test.cpp
+++ b/src/peers/tests/codec_test.cpp
@@ -135,6 +135,55 @@
     REQUIRE(core::limit_of(load.rate) == core::millihertz(12'200));
 }
 
+// Guards against a rolling update in which the waits by rank end the connection
+// to each node of the previous version, or of a later one.
+TEST_CASE("a load report states waits by rank if there are any")
+{
+    auto report = make_load_report();
+    auto const update_of = [](std::string const& bytes) {
+        auto const it = decode(bytes);
+        REQUIRE(it);
+        return std::get<load_update>(*it).load;
+    };
+    // The previous version sends and reads an array of 11.
+    auto const without = encode(load_update{core::upstream_id("i"), report});
+    REQUIRE(without.find('\x9b') != std::string::npos);
+    REQUIRE(update_of(without).waits_by_rank.empty());
+
+    report.waits_by_rank = {{core::rank(1), core::milliseconds(20)},
+                            {core::rank(2), core::milliseconds(90)}};
+    auto bytes = encode(load_update{core::upstream_id("i"), report});
+    check_round_trip(load_update{core::upstream_id("i"), report});
+    auto const waits = update_of(bytes).waits_by_rank;
+    REQUIRE(waits.size() == 2);
+    REQUIRE(waits[1].rank == core::rank(2));
+    REQUIRE(waits[1].wait == core::milliseconds(90));
+    // The elements of the previous version are unchanged and come first.
+    auto const at = bytes.find('\x9c');
+    REQUIRE(at == without.find('\x9b'));
+    REQUIRE(bytes.substr(at + 1, without.size() - at - 1) ==
+            without.substr(at + 1));
+    // A later version appends a number.
+    bytes[at] = '\x9d';
+    bytes += '\x07';
+    REQUIRE(update_of(bytes).waits_by_rank.size() == 2);
+}
+
+// Guards against a peer that makes a node hold a long list for each worker.
+TEST_CASE("waits of more ranks than the maximum are ignored")
+{
+    auto report = make_load_report();
+    for (std::uint32_t i = 0; i < 12; ++i)
+    {
+        report.waits_by_rank.push_back(
+            {core::rank(i), core::milliseconds(10 * i)});
+    }
+    auto const it = decode(encode(load_update{core::upstream_id("i"), report}));
+    REQUIRE(it);
+    REQUIRE(std::get<load_update>(*it).load.waits_by_rank.size() ==
+            balancing::max_rank_waits);
+}
+
 // Guards against a truncated frame that is decoded as a message.
 TEST_CASE("a truncated frame is rejected")
 {
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -699,6 +699,7 @@
         core::percentage(static_cast<std::uint32_t>(rejection_share_ * 100));
     report.rate = queue_.stated_rate();
     report.cold_rate = queue_.cold_rate();
+    report.waits_by_rank = queue_.waits_by_rank(now);
     return report;
 }
 
