Peers: Let new calls avoid unresponsive nodes

Cause: a node that loses power held the calls that were offered to it until the liveness timeout of 1.4 s, which is longer than the deadlines of two deployments.

Change: a ping is sent after 150 ms without a byte (400 ms before). A node that has sent no byte for 350 ms over any of its links in spite of a ping is unresponsive until its next byte or the loss of the connection. Its workers get no new calls while another upstream can be chosen. peers/node_liveness decides without I/O; a check of the timer that runs more than 50 ms late restarts the silence, because this node's event loop was delayed. The liveness timeout stays at 1.4 s. It is now checked every 50 ms while a node is silent, and also closes the connection of an unresponsive node without open calls. The rule is visible in two metrics and two log lines.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -131,6 +131,12 @@
     add_counter(out, "yuccafall_free_slot_refusals_total",
                 "Offers refused by a full worker while another seemed free.",
                 core::value_of(it.free_slot_refusals));
+    add_gauge(out, "yuccafall_unresponsive_nodes",
+              "Nodes that have sent nothing for 350 ms despite a ping.",
+              core::value_of(it.unresponsive_nodes));
+    add_counter(out, "yuccafall_unresponsive_avoided_total",
+                "Calls offered elsewhere because a node was unresponsive.",
+                core::value_of(it.unresponsive_avoided));
     add_counter(out, "yuccafall_retries_total",
                 "Calls offered again that had reached a worker.",
                 core::value_of(it.retries));
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -443,3 +443,67 @@
         REQUIRE(std::get<chosen>(it).target->id == own.id);
     }
 }
+
+namespace {
+
+upstream make_upstream_at(char const* id, std::uint16_t port)
+{
+    auto it = make_upstream(id);
+    it.node.port = core::port_number(port);
+    return it;
+}
+
+} // namespace
+
+// Guards against offering calls to a node that has failed until its connection
+// is closed, and against a rule that goes on when the node has responded.
+TEST_CASE(
+    "a worker beside an unresponsive node gets no calls until it responds")
+{
+    fixture f;
+    std::vector<upstream> const upstreams{make_upstream_at("x", 1),
+                                          make_upstream_at("y", 2)};
+    f.scores->record_responsive(upstreams[0].node, false);
+    REQUIRE(f.count_calls(upstreams, 0).at("y") == 200);
+    REQUIRE_FALSE(f.scores->is_ejected(upstreams[0].id, at(0)));
+    f.scores->record_responsive(upstreams[0].node, true);
+    REQUIRE(f.count_calls(upstreams, 0).at("x") > 60);
+}
+
+// Guards against refusing calls when nothing else can be chosen.
+TEST_CASE("the choice is as usual if all nodes are unresponsive")
+{
+    fixture f;
+    std::vector<upstream> const upstreams{make_upstream_at("x", 1),
+                                          make_upstream_at("y", 2)};
+    f.scores->record_responsive(upstreams[0].node, false);
+    f.scores->record_responsive(upstreams[1].node, false);
+    auto const counts = f.count_calls(upstreams, 0);
+    REQUIRE(counts.at("x") > 60);
+    REQUIRE(counts.at("y") > 60);
+    auto const it =
+        f.scores->choose(upstreams, {upstreams[0].id}, {}, at(0), f.random);
+    REQUIRE(std::get<chosen>(it).target->id.value() == "y");
+    REQUIRE_FALSE(std::get<chosen>(it).avoids_unresponsive_node);
+}
+
+// Guards against an offer that requires a free slot since the worker beside an
+// unresponsive node seems free, and against counting calls that would not have
+// gone there.
+TEST_CASE("an unresponsive node is no alternative")
+{
+    fixture f;
+    std::vector<upstream> const upstreams{make_upstream_at("x", 1),
+                                          make_upstream_at("y", 2)};
+    f.scores->record_responsive(upstreams[0].node, false);
+    auto const choose = [&] {
+        return std::get<chosen>(
+            f.scores->choose(upstreams, {}, {}, at(0), f.random));
+    };
+    REQUIRE_FALSE(choose().has_alternative);
+    f.scores->record_report(upstreams[1].id, full_worker_report(300), at(0));
+    REQUIRE(choose().avoids_unresponsive_node);
+    f.scores->record_report(upstreams[0].id, full_worker_report(3'000), at(0));
+    f.scores->record_report(upstreams[1].id, {}, at(0));
+    REQUIRE_FALSE(choose().avoids_unresponsive_node);
+}
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -161,6 +161,31 @@
     leaving_workers_.record(it.id, it.started, now);
 }
 
+void upstream_scores::record_responsive(core::endpoint const& node,
+                                        bool responsive)
+{
+    if (responsive)
+    {
+        unresponsive_nodes_.erase(node);
+        return;
+    }
+    unresponsive_nodes_.insert(node);
+}
+
+std::vector<upstream const*>
+upstream_scores::responsive(std::vector<upstream const*> const& upstreams) const
+{
+    std::vector<upstream const*> out;
+    for (auto const* it : upstreams)
+    {
+        if (unresponsive_nodes_.count(it->node) == 0)
+        {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
 bool upstream_scores::is_ejected(core::upstream_id const& id,
                                  core::instant now) const
 {
@@ -363,8 +388,29 @@
                                call_traits const& traits, core::instant now,
                                core::random_source& random)
 {
-    auto const candidates =
-        sample_candidates(eligible(upstreams, tried, now), random);
+    auto const all = eligible(upstreams, tried, now);
+    auto const preferred = responsive(all);
+    if (preferred.empty() || preferred.size() == all.size())
+    {
+        return choose_among(all, traits, now, random);
+    }
+    auto const without_rule = choose_among(all, traits, now, random);
+    auto out = choose_among(preferred, traits, now, random);
+    auto const* const replaced = std::get_if<chosen>(&without_rule);
+    if (auto* const it = std::get_if<chosen>(&out); it && replaced)
+    {
+        it->avoids_unresponsive_node =
+            unresponsive_nodes_.count(replaced->target->node) != 0;
+    }
+    return out;
+}
+
+choice upstream_scores::choose_among(std::vector<upstream const*> upstreams,
+                                     call_traits const& traits,
+                                     core::instant now,
+                                     core::random_source& random) const
+{
+    auto const candidates = sample_candidates(std::move(upstreams), random);
     if (candidates.empty())
     {
         return none_available{};
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -137,6 +137,9 @@
     upstream const* target;
     // True if another candidate is believed to have a free slot.
     bool has_alternative = false;
+    // True if another upstream would have been chosen if its node were not
+    // unresponsive.
+    bool avoids_unresponsive_node = false;
 };
 struct none_available
 {};
@@ -199,6 +202,15 @@
     // Removes the state of workers that are not listed any more.
     void remove_unlisted(std::set<core::upstream_id> const& listed);
 
+    // Records whether a node takes part in the choice. The workers beside an
+    // unresponsive node get no calls while another upstream can be chosen. This
+    // is not an ejection, and changes no count of failures.
+    void record_responsive(core::endpoint const& node, bool responsive);
+    std::size_t unresponsive_nodes() const
+    {
+        return unresponsive_nodes_.size();
+    }
+
     bool is_ejected(core::upstream_id const& id, core::instant now) const;
 
     // Returns what the worker has stated most recently as far as this node
@@ -261,6 +273,13 @@
     eligible(std::vector<upstream> const& upstreams,
              std::set<core::upstream_id> const& tried, core::instant now) const;
 
+    // Returns those whose nodes are not unresponsive.
+    std::vector<upstream const*>
+    responsive(std::vector<upstream const*> const& upstreams) const;
+    choice choose_among(std::vector<upstream const*> upstreams,
+                        call_traits const& traits, core::instant now,
+                        core::random_source& random) const;
+
     // Expected run time of a route that has not run yet.
     static constexpr core::milliseconds initial_run_time{100};
 
@@ -270,6 +289,7 @@
     core::node_count nodes_{1};
     membership::leaving_workers leaving_workers_;
     std::map<core::upstream_id, upstream_state> states_;
+    std::set<core::endpoint> unresponsive_nodes_;
     // Moving average of the run time of each route over all upstreams, in
     // milliseconds.
     std::map<core::route_name, double> mean_run_times_ms_;
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -301,6 +301,8 @@
         offer.http_request.body = request_.body;
     }
     core::add(ingress_->counters_->offers);
+    core::add(ingress_->counters_->unresponsive_avoided,
+              choice.avoids_unresponsive_node ? 1 : 0);
     ingress_->upstream_scores_.record_sent(target.id, now);
     ingress_->links_->open(
         peer_link_, *attempt_id_,
--- a/src/ingress/counters.hpp
+++ b/src/ingress/counters.hpp
@@ -52,6 +52,10 @@
     // although the load reports at this node showed it as free, or as worth a
     // wait while another was free.
     core::counter free_slot_refusals{0};
+    // Nodes that are unresponsive now.
+    core::counter unresponsive_nodes{0};
+    // Offers that would have gone to an unresponsive node.
+    core::counter unresponsive_avoided{0};
     // Attempts after one that reached a worker.
     core::counter retries{0};
     // Retries that were not made because the retry budget was exhausted.
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -83,6 +83,16 @@
                                                      core::boot_clock::now());
             }
         });
+    links_->on_liveness_change(
+        [weak = weak_from_this()](core::endpoint const& node, bool responsive) {
+            if (auto const self = weak.lock())
+            {
+                auto& scores = self->upstream_scores_;
+                scores.record_responsive(node, responsive);
+                self->counters_->unresponsive_nodes.store(
+                    scores.unresponsive_nodes(), std::memory_order_relaxed);
+            }
+        });
     return {};
 }
 
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -1,6 +1,10 @@
-// Messages are queued in their link until it is connected.
+// Messages are queued in their link until it is connected. Each link sends the
+// pings and closes its connection after the liveness timeout; node_liveness
+// decides whether the node is unresponsive.
 #include "peers/peer_links.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -31,10 +35,19 @@
 class peer_links::link : public std::enable_shared_from_this<link>
 {
 public:
+    struct owner_handlers
+    {
+        load_handler load;
+        liveness_handler liveness;
+        // Called when this link sends a ping because nothing has arrived.
+        std::function<void()> pinged;
+    };
+
     link(asio::io_context& context, link_key to, peer_link_settings settings,
-         load_handler handle_load)
+         std::shared_ptr<node_liveness> node, owner_handlers owner)
         : context_(context), liveness_timer_(context), key_(std::move(to)),
-          settings_(std::move(settings)), load_handler_(std::move(handle_load))
+          settings_(std::move(settings)), node_(std::move(node)),
+          owner_(std::move(owner))
     {}
 
     void connect()
@@ -61,12 +74,26 @@
 
     void open(core::call_id const& call, call_handlers handlers)
     {
-        if (calls_.empty())
+        auto const now = core::boot_clock::now();
+        // The time without a byte goes on while a ping is unanswered.
+        bool const silent = check_scheduled_ && last_ping_ > last_received();
+        if (calls_.empty() && !silent)
+        {
+            last_received_ = now;
+        }
+        if (calls_.emplace(call, open_call{std::move(handlers)}).second)
+        {
+            node_->record_call_opened(now);
+        }
+        schedule_liveness_check(settings_.ping_delay);
+    }
+
+    void send_ping()
+    {
+        if (connection_)
         {
-            last_received_ = core::boot_clock::now();
+            connection_->send(encode(ping{}));
         }
-        calls_.emplace(call, open_call{std::move(handlers)});
-        schedule_liveness_check();
     }
 
     void send(message const& it)
@@ -80,7 +107,13 @@
         transmit(call_of(it), std::move(frame));
     }
 
-    void close(core::call_id const& call) { calls_.erase(call); }
+    void close(core::call_id const& call)
+    {
+        if (calls_.erase(call) != 0)
+        {
+            node_->record_call_closed();
+        }
+    }
 
     bool is_broken() const { return broken_; }
 
@@ -110,7 +143,7 @@
             return;
         }
         connection_ = std::move(connection);
-        last_received_ = core::boot_clock::now();
+        record_received(core::boot_clock::now());
         connection_->start(
             {[self = shared_from_this()](std::string const& frame) {
                  self->handle_frame(frame);
@@ -141,7 +174,7 @@
 
     void handle_frame(std::string const& frame)
     {
-        last_received_ = core::boot_clock::now();
+        record_received(core::boot_clock::now());
         auto it = decode(frame);
         if (!it)
         {
@@ -155,9 +188,9 @@
         }
         if (auto const* update = std::get_if<load_update>(&*it))
         {
-            if (load_handler_)
+            if (owner_.load)
             {
-                load_handler_(update->upstream, update->load);
+                owner_.load(update->upstream, update->load);
             }
             return;
         }
@@ -171,15 +204,63 @@
         }
     }
 
+    // Returns when bytes last arrived. A long frame may take longer to arrive
+    // than the timeout, so its parts count as well.
+    core::instant last_received() const
+    {
+        return connection_ ? std::max(last_received_, connection_->last_read())
+                           : last_received_;
+    }
+
+    void record_received(core::instant at)
+    {
+        last_received_ = std::max(last_received_, at);
+        auto const silence = node_->silence(at);
+        if (node_->record_byte(at))
+        {
+            report(true, silence);
+        }
+    }
+
+    void report(bool responsive, core::duration silence)
+    {
+        // The limit on lines about requests also bounds these.
+        if (core::admit_request_line(core::request_event::exceptional))
+        {
+            auto const silent_ms =
+                std::chrono::duration_cast<core::milliseconds>(silence).count();
+            if (responsive)
+            {
+                core::log_event(core::log_level::info, "peer_responsive",
+                                {{"node", core::to_string(key_.node)},
+                                 {"calls", calls_.size()},
+                                 {"silent_ms", silent_ms}});
+            }
+            else
+            {
+                core::log_event(core::log_level::warning, "peer_unresponsive",
+                                {{"node", core::to_string(key_.node)},
+                                 {"calls", calls_.size()},
+                                 {"silent_ms", silent_ms}});
+            }
+        }
+        if (owner_.liveness)
+        {
+            owner_.liveness(key_.node, responsive);
+        }
+    }
+
     // Starts the timer for the next liveness check. The timer runs only while
-    // calls are open, so that an idle link costs nothing.
-    void schedule_liveness_check()
+    // calls are open or a ping is unanswered, so that an idle link costs
+    // nothing.
+    void schedule_liveness_check(core::duration delay)
     {
         if (std::exchange(check_scheduled_, true))
         {
             return;
         }
-        liveness_timer_.expires_after(settings_.ping_delay);
+        check_due_ = core::boot_clock::now() + delay;
+        liveness_timer_.expires_after(delay);
         liveness_timer_.async_wait(
             [weak = weak_from_this()](error_code const& ec) {
                 auto const self = weak.lock();
@@ -194,29 +275,46 @@
 
     void check_liveness()
     {
-        if (broken_ || calls_.empty())
+        auto const is_watched = [this] {
+            return !broken_ && (!calls_.empty() || node_->ping_unanswered());
+        };
+        if (!is_watched())
         {
             return;
         }
-        // A long frame may take longer to arrive than the timeout, so its parts
-        // count as well.
-        auto const last_received =
-            connection_ ? std::max(last_received_, connection_->last_read())
-                        : last_received_;
-        auto const since_last_received =
-            core::boot_clock::now() - last_received;
-        if (connection_ && since_last_received >= settings_.liveness_timeout)
+        if (connection_)
+        {
+            record_received(connection_->last_read());
+        }
+        auto const now = core::boot_clock::now();
+        auto const since_last_received = now - last_received_;
+        if (connection_ && since_last_received >= settings_.liveness_timeout &&
+            (!calls_.empty() || node_->unresponsive()))
         {
             connection_->close(
                 {core::error_kind::io,
                  "liveness timeout: no frame received from the node"});
             return;
         }
-        if (connection_ && since_last_received >= settings_.ping_delay)
+        if (connection_ && node_->check(check_due_, now))
         {
-            connection_->send(encode(ping{}));
+            report(false, node_->silence(now));
+        }
+        if (connection_ && !calls_.empty() &&
+            std::min(since_last_received, now - last_ping_) >=
+                settings_.ping_delay)
+        {
+            last_ping_ = now;
+            send_ping();
+            owner_.pinged();
+            node_->record_ping();
+        }
+        if (is_watched())
+        {
+            schedule_liveness_check(std::max<core::duration>(
+                settings_.ping_delay - since_last_received,
+                settings_.check_interval));
         }
-        schedule_liveness_check();
     }
 
     void handle_disconnect(std::string const& reason)
@@ -230,23 +328,36 @@
                          {"calls", calls_.size()},
                          {"reason", reason}});
         liveness_timer_.cancel();
-        connection_.reset();
+        bool const was_connected =
+            std::exchange(connection_, nullptr) != nullptr;
         for (auto& [call, it] : std::exchange(calls_, {}))
         {
+            node_->record_call_closed();
             it.handlers.disconnected({it.sent, reason});
         }
+        // The calls have reported a failure. The peer_lost line stands for this
+        // change.
+        if (was_connected &&
+            node_->record_connection_lost(core::boot_clock::now()) &&
+            owner_.liveness)
+        {
+            owner_.liveness(key_.node, true);
+        }
     }
 
     asio::io_context& context_;
     asio::steady_timer liveness_timer_;
     link_key key_;
     peer_link_settings settings_;
-    load_handler load_handler_;
+    std::shared_ptr<node_liveness> node_;
+    owner_handlers owner_;
     // Null until connected, and again after the connection is lost.
     std::shared_ptr<transport::frame_connection> connection_;
     std::map<core::call_id, open_call> calls_;
     std::vector<std::pair<core::call_id, std::string>> queued_frames_;
     core::instant last_received_{};
+    core::instant last_ping_{};
+    core::instant check_due_{};
     bool check_scheduled_ = false;
     // Invariant: never cleared once set. The next call to this node creates a
     // new link.
@@ -271,6 +382,34 @@
     }
 }
 
+std::shared_ptr<peer_links::link> peer_links::make_link(link_key const& to)
+{
+    auto& node = nodes_[to.node];
+    if (!node)
+    {
+        node = std::make_shared<node_liveness>(settings_.liveness);
+    }
+    // The answer to a ping on the link for long bodies may have to wait for the
+    // bandwidth of the other node, so the other link is asked as well.
+    auto ping_short_link = [pointer = nullable_self_, to] {
+        if (*pointer == nullptr ||
+            to.traffic_class == traffic_class::short_messages)
+        {
+            return;
+        }
+        auto const& links = (*pointer)->links_;
+        auto const found = links.find({to.node, traffic_class::short_messages});
+        if (found != links.end())
+        {
+            found->second->send_ping();
+        }
+    };
+    return std::make_shared<link>(
+        context_, to, settings_, node,
+        link::owner_handlers{load_handler_, liveness_handler_,
+                             std::move(ping_short_link)});
+}
+
 void peer_links::open(link_key const& to, core::call_id const& call,
                       call_handlers handlers)
 {
@@ -282,7 +421,7 @@
     auto& it = links_[to];
     if (!it || it->is_broken())
     {
-        it = std::make_shared<link>(context_, to, settings_, load_handler_);
+        it = make_link(to);
         it->connect();
     }
     it->open(call, std::move(handlers));
--- a/src/peers/peer_links.hpp
+++ b/src/peers/peer_links.hpp
@@ -17,6 +17,7 @@
 #include "core/endpoint.hpp"
 #include "core/units.hpp"
 #include "peers/messages.hpp"
+#include "peers/node_liveness.hpp"
 #include "transport/frame_connection.hpp"
 
 namespace yuccafall::peers {
@@ -62,11 +63,14 @@
 {
     core::milliseconds connect_timeout{500};
     // While calls are open, a ping is sent after this long without a received
-    // frame.
-    core::milliseconds ping_delay{400};
-    // While calls are open, the connection is closed after this long without a
-    // received frame. This leaves time for three retransmissions on a network
-    // that loses packets.
+    // byte, and again after each further time of this length.
+    core::milliseconds ping_delay{150};
+    // How often a link is checked that has received nothing for the ping delay.
+    core::milliseconds check_interval{50};
+    node_liveness_settings liveness;
+    // While calls are open or the node is unresponsive, the connection is
+    // closed after this long without a received byte. This leaves time for
+    // three retransmissions on a network that loses packets.
     core::milliseconds liveness_timeout{1'400};
     // A connection is closed after this long without a frame in either
     // direction.
@@ -92,6 +96,9 @@
     using local_message_handler = std::function<void(message, reply_function)>;
     using load_handler = std::function<void(core::upstream_id const&,
                                             balancing::load_report const&)>;
+    // Called when a node becomes unresponsive, and when it is responsive again.
+    using liveness_handler =
+        std::function<void(core::endpoint const& node, bool responsive)>;
 
     peer_links(boost::asio::io_context& context, core::endpoint self,
                local_message_handler handle_local_message,
@@ -113,17 +120,29 @@
         load_handler_ = std::move(handler);
     }
 
+    // Sets the handler for changes of nodes between responsive and
+    // unresponsive.
+    void on_liveness_change(liveness_handler handler)
+    {
+        liveness_handler_ = std::move(handler);
+    }
+
     std::size_t connections() const { return links_.size(); }
 
 private:
     class link;
 
+    std::shared_ptr<link> make_link(link_key const& to);
+
     boost::asio::io_context& context_;
     core::endpoint self_;
     local_message_handler local_message_handler_;
     load_handler load_handler_;
+    liveness_handler liveness_handler_;
     peer_link_settings settings_;
     std::map<link_key, std::shared_ptr<link>> links_;
+    // Shared by the links to each node.
+    std::map<core::endpoint, std::shared_ptr<node_liveness>> nodes_;
     std::map<core::call_id, call_handlers> local_calls_;
     // Points to a pointer to this object, which is null after its destruction.
     // Shared with pending local replies, which may outlive the object.
--- a/src/trace/request_trace.cpp
+++ b/src/trace/request_trace.cpp
@@ -14,24 +14,13 @@
 namespace {
 
 // Events that do not name a request but can explain what happened to one.
-constexpr std::array<std::string_view, 17> state_change_events{
-    "node_started",
-    "drain_started",
-    "drain_ended",
-    "node_stopped",
-    "store_lost",
-    "store_regained",
-    "worker_listed",
-    "worker_removed",
-    "worker_unreachable",
-    "worker_crashed",
-    "request_poisoned",
-    "peer_lost",
-    "control_link_lost",
-    "configuration_applied",
-    "configuration_refused",
-    "evacuation_changed",
-    "settings_read"};
+constexpr std::array<std::string_view, 18> state_change_events{
+    "node_started",          "drain_started",      "drain_ended",
+    "node_stopped",          "store_lost",         "store_regained",
+    "worker_listed",         "worker_removed",     "worker_unreachable",
+    "worker_crashed",        "request_poisoned",   "peer_lost",
+    "peer_unresponsive",     "control_link_lost",  "configuration_applied",
+    "configuration_refused", "evacuation_changed", "settings_read"};
 
 struct error_explanation
 {
