--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
@@ -342,9 +343,17 @@
     server_->last_request_received_at_ = request_received_at_;
     enter_phase(phase::responding);
     // Reading detects a caller that disconnects while the request is being
-    // handled.
+    // handled. If the caller has left already, which happens when this process
+    // was delayed, that is handled before the request.
     read();
-    server_->request_handler_(shared_from_this(), std::move(message));
+    asio::post(
+        socket_.get_executor(),
+        [self = shared_from_this(), message = std::move(message)]() mutable {
+            if (self->open_)
+            {
+                self->server_->request_handler_(self, std::move(message));
+            }
+        });
 }
 
 void server_connection::send_error(core::error const& why)
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -1,7 +1,11 @@
 // Tests the server over real connections.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,8 +36,9 @@
         server_ =
             server::listen(
                 context_, {core::ip_address("127.0.0.1"), core::port_number(0)},
-                [](std::shared_ptr<server_connection> const& caller,
-                   request const& it) {
+                [this](std::shared_ptr<server_connection> const& caller,
+                       request const& it) {
+                    ++handled_;
                     response out;
                     out.status = 200;
                     out.body = it.target;
@@ -63,6 +68,7 @@
     }
 
     server& receiver() { return *server_; }
+    std::size_t handled() const { return handled_; }
     boost::asio::io_context& context() { return context_; }
 
     void reconnect()
@@ -145,6 +151,8 @@
     boost::asio::io_context context_{1};
     std::shared_ptr<server> server_;
     std::shared_ptr<client_connection> client_;
+    // The number of requests that the server has passed on.
+    std::size_t handled_ = 0;
 };
 
 // Reads what has arrived. Returns whether the connection has ended, and adds
@@ -199,6 +207,26 @@
     REQUIRE(it.exchange(serialize(upload(500))).status == 413);
 }
 
+// Guards against a request that a node offers to a worker although its caller
+// has left: the node was delayed, and the request and the end of the connection
+// were both in its receive buffer.
+TEST_CASE("a request whose caller has already left is not handled")
+{
+    kept_connection it;
+    auto const caller = it.open_another();
+    boost::asio::write(*caller, boost::asio::buffer(serialize(get("/a"))));
+    caller->shutdown(tcp::socket::shutdown_send);
+    int unacknowledged = 1;
+    while (unacknowledged > 0)
+    {
+        ::ioctl(caller->native_handle(), SIOCOUTQ, &unacknowledged);
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    it.run_until([&] { return it.receiver().connections() == 2; });
+    it.run_until([&] { return it.receiver().connections() == 1; });
+    REQUIRE(it.handled() == 0);
+}
+
 // Guards against a process that is ended for its memory: bodies that were still
 // arriving did not count (two uploads of 60 MiB took a node of 260 MB to 365
 // MB).
