Upstream: End the run that a test starts

Cause: a test left its run open, and AddressSanitizer reported 13,577 bytes that the owner and the connection of the run hold through each other.

Change: the test responds to the request and waits for the end of the run.

--- a/src/upstream/tests/worker_owner_test.cpp
+++ b/src/upstream/tests/worker_owner_test.cpp
@@ -195,6 +195,8 @@
     it.offer(2);
     it.accept_request();
     REQUIRE(it.counts->runs == 1);
+    it.respond();
+    it.run_until([&] { return it.owner->running() == 0; });
 }
 
 // Guards against the same for a call that waits: the end of the run that it
