Stand-ins: Wait until a paused process has stopped

Cause: kill() returns before all threads of a process have stopped. A node that a test had paused still handled the next message: it asked for the body of an upload, got it and then stopped, so the outcome was rightly reported as unknown.

Change: pause() waits with waitid() until the process has stopped. A test checks that no thread of a paused node runs.

--- a/stand_ins/child_process.cpp
+++ b/stand_ins/child_process.cpp
@@ -139,6 +139,22 @@
     }
 }
 
+// The threads of a process stop one after another after kill() has returned.
+void child_process::pause() const
+{
+    if (status_)
+    {
+        return;
+    }
+    send_signal(SIGSTOP);
+    siginfo_t ignored{};
+    // WNOWAIT leaves the exit status to wait_for().
+    while (::waitid(P_PID, static_cast<id_t>(pid_), &ignored,
+                    WSTOPPED | WEXITED | WNOWAIT) != 0 &&
+           errno == EINTR)
+    {}
+}
+
 std::optional<int> child_process::wait_for(core::milliseconds timeout)
 {
     if (status_)
--- a/stand_ins/child_process.hpp
+++ b/stand_ins/child_process.hpp
@@ -40,7 +40,9 @@
     // Returns whether the process handles or ignores SIGHUP. One that has just
     // been started does neither and would end.
     bool survives_reload() const;
-    void pause() const { send_signal(SIGSTOP); }
+    // Returns once no thread of the process runs, or once the process has
+    // ended.
+    void pause() const;
     void resume() const { send_signal(SIGCONT); }
 
     // Waits for the end of the process and returns its exit status, or 128 + n
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -329,6 +329,30 @@
     REQUIRE(fleet.call(2, deployment::request("/look/", "p")).status == 200);
 }
 
+// Guards against a test of a paused node that fails because a thread of the
+// node has still handled a message after pause().
+TEST_CASE("no thread of a paused node runs")
+{
+    running_deployment fleet({{"a", "shop", 6, core::milliseconds(5)}},
+                             {{"/look/", "idempotent", "shop"}});
+    auto const threads = fmt::format("/proc/{}/task", fleet.node(0).pid());
+    int running = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        fleet.node(0).pause();
+        for (auto const& it : std::filesystem::directory_iterator(threads))
+        {
+            std::ifstream file(it.path() / "status");
+            std::string const status{std::istreambuf_iterator<char>(file), {}};
+            running += status.find("\nState:\tT") == std::string::npos ? 1 : 0;
+        }
+        fleet.node(0).resume();
+        REQUIRE(fleet.call(0, deployment::request("/look/", "l")).status ==
+                200);
+    }
+    REQUIRE(running == 0);
+}
+
 // Guards against an upload whose outcome is reported as unknown although its
 // body was never sent (seen with moodboard-upload on a recorded day of
 // kayal-trendhost). The paused node stands for one that no longer responds.
