HTTP: Count responses of undeclared size while they arrive

Change: what has arrived of such a response counts in the part of the worker's responses, and the next part is read when there is room. core/memory_part notifies those who wait when memory is released, so the client no longer polls every 20 ms. If all responses that are held wait, the one that would hold its memory for longest ends with out_of_memory, so its call ends as failed and not at its deadline. The first 16 kB never wait.

--- a/src/core/memory_part.cpp
+++ b/src/core/memory_part.cpp
@@ -2,6 +2,7 @@
 #include "core/memory_part.hpp"
 
 #include <utility>
+#include <vector>
 
 namespace yuccafall::core {
 
@@ -43,6 +44,46 @@
     return used().value() + needed.value() <= limit_.value();
 }
 
+bool memory_part::can_admit(byte_count needed) const
+{
+    return has_room(needed) || used().value() == 0;
+}
+
+bool memory_part::all_wait() const
+{
+    std::uint64_t waiting = 0;
+    for (auto const* it : waiters_)
+    {
+        waiting += it->size_.value();
+    }
+    return waiting == used().value();
+}
+
+void memory_part::notify_waiters()
+{
+    std::vector<std::function<void()>> handlers;
+    for (auto it = waiters_.begin(); it != waiters_.end();)
+    {
+        if (!can_admit((*it)->needed_))
+        {
+            ++it;
+            continue;
+        }
+        handlers.push_back(std::exchange((*it)->notify_, nullptr));
+        it = waiters_.erase(it);
+    }
+    // Nobody who waits can go on, so the first decides whose data is dropped.
+    if (handlers.empty() && !waiters_.empty() && all_wait())
+    {
+        handlers.push_back(std::exchange(waiters_.front()->notify_, nullptr));
+        waiters_.pop_front();
+    }
+    for (auto const& notify : handlers)
+    {
+        notify();
+    }
+}
+
 held_memory* memory_part::find_slowest(eviction from, instant now) const
 {
     held_memory* slowest = nullptr;
@@ -103,14 +144,36 @@
 void held_memory::resize(byte_count size)
 {
     auto const previous = std::exchange(size_, size);
-    if (part_)
+    if (!part_)
+    {
+        return;
+    }
+    part_->used_ += size.value() - previous.value();
+    if (size < previous)
+    {
+        part_->notify_waiters();
+    }
+}
+
+void held_memory::wait_for_room(byte_count needed, std::function<void()> notify)
+{
+    stop_waiting();
+    needed_ = needed;
+    notify_ = std::move(notify);
+    part_->waiters_.push_back(this);
+}
+
+void held_memory::stop_waiting()
+{
+    if (std::exchange(notify_, nullptr))
     {
-        part_->used_ += size.value() - previous.value();
+        part_->waiters_.remove(this);
     }
 }
 
 void held_memory::release()
 {
+    stop_waiting();
     resize(byte_count(0));
     holder_ = {};
     if (part_)
--- a/src/core/memory_part.hpp
+++ b/src/core/memory_part.hpp
@@ -8,6 +8,7 @@
 #define YUCCAFALL_CORE_MEMORY_PART_HPP
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <set>
 
@@ -56,13 +57,26 @@
     std::uint64_t ended() const { return value_of(ended_); }
 
     bool has_room(byte_count needed) const;
+    // Returns whether the bytes may be held now. Those that would never fit may
+    // be held while nothing else is.
+    bool can_admit(byte_count needed) const;
     // Ends holders until there is room, those first whose readers need longest
     // for the rest of their data. Returns false if there is still no room.
     bool make_room(byte_count needed, eviction from, instant now);
 
+    // Returns whether all memory that is used belongs to holders that wait for
+    // more of it, so that none of them can go on.
+    bool all_wait() const;
+
 private:
     friend class held_memory;
 
+    // Notifies those whose bytes can be admitted now, and removes them from the
+    // list. Each is notified regardless of the others: one that does not use
+    // the room must not keep the next one waiting. If all wait and none can be
+    // admitted, the first is notified.
+    void notify_waiters();
+
     // Returns null if no holder may be ended.
     held_memory* find_slowest(eviction from, instant now) const;
 
@@ -72,6 +86,9 @@
     counter ended_{0};
     // Invariant: the objects with a holder.
     std::set<held_memory*> holders_;
+    // Invariant: the objects that wait for room; the one that has waited
+    // longest is at the front.
+    std::list<held_memory*> waiters_;
 };
 
 // Counts bytes in a part as long as the object exists. Without a part, it only
@@ -101,7 +118,14 @@
     void set_holder(holder it);
     // Sets the number of bytes, even if the part has no room for them.
     void resize(byte_count size);
-    // Releases the bytes and the holder.
+    // Calls the handler once when the part can admit `needed` more bytes, or
+    // when all_wait() has become true. The handler runs while another object
+    // releases memory, so it must only post the work, which then checks the
+    // room again. A later call replaces the handler. Precondition: the object
+    // has a part.
+    void wait_for_room(byte_count needed, std::function<void()> notify);
+    void stop_waiting();
+    // Releases the bytes and the holder, and stops waiting.
     void release();
 
     byte_count size() const { return size_; }
@@ -112,6 +136,10 @@
     std::shared_ptr<memory_part> part_;
     byte_count size_;
     holder holder_;
+    // How many more bytes the object waits for, and whom to notify. Empty while
+    // it does not wait.
+    byte_count needed_;
+    std::function<void()> notify_;
 };
 
 } // namespace yuccafall::core
--- a/src/core/tests/memory_part_test.cpp
+++ b/src/core/tests/memory_part_test.cpp
@@ -118,3 +118,47 @@
     REQUIRE_FALSE(part->make_room(byte_count(1),
                                   memory_part::eviction::all_holders, at(0)));
 }
+
+// Guards against data that waits for ever because the object that was notified
+// before it did not use the room.
+TEST_CASE("all who would have room are notified when memory is released")
+{
+    auto const part = make_part(3);
+    held_memory first(part);
+    first.resize(byte_count(2'000'000));
+    held_memory second(part);
+    second.resize(megabyte);
+    held_memory small(part);
+    held_memory large(part);
+    held_memory stopped(part);
+    int small_notified = 0;
+    int large_notified = 0;
+    small.wait_for_room(megabyte, [&] { ++small_notified; });
+    large.wait_for_room(byte_count(4'000'000), [&] { ++large_notified; });
+    stopped.wait_for_room(megabyte, [] { FAIL("it does not wait any more"); });
+    stopped.stop_waiting();
+    REQUIRE_FALSE(part->can_admit(megabyte));
+    second.release();
+    REQUIRE(small_notified == 1);
+    REQUIRE(large_notified == 0);
+    // What never fits is admitted while nothing else is held.
+    first.release();
+    REQUIRE(small_notified == 1);
+    REQUIRE(large_notified == 1);
+}
+
+// Guards against holders that wait for each other after the last one that did
+// not wait has released its memory.
+TEST_CASE("one of those that wait is notified when none of them can go on")
+{
+    auto const part = make_part(3);
+    held_memory first(part);
+    first.resize(byte_count(3'000'000));
+    held_memory second(part);
+    second.resize(megabyte);
+    int notified = 0;
+    first.wait_for_room(megabyte, [&] { ++notified; });
+    REQUIRE_FALSE(part->all_wait());
+    second.release();
+    REQUIRE(notified == 1);
+}
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -19,7 +19,7 @@
 using boost::system::error_code;
 
 client_connection::client_connection(asio::any_io_executor const& executor)
-    : socket_(executor), timer_(executor), room_timer_(executor)
+    : socket_(executor), timer_(executor)
 {}
 
 void client_connection::connect(core::endpoint const& to,
@@ -142,12 +142,7 @@
         }
         if (*status == parse_progress::needs_more_data)
         {
-            if (has_room_for_response())
-            {
-                read();
-                return;
-            }
-            wait_for_room();
+            read_response();
             return;
         }
         auto response = reader_->release();
@@ -168,38 +163,87 @@
     }
 }
 
-// A response is admitted with its whole size, so that those that have been
-// admitted never wait for each other.
-bool client_connection::has_room_for_response()
+// A response that states its size is admitted with all of it, so that those
+// that have been admitted never wait for each other. One that does not is
+// admitted part by part.
+core::byte_count client_connection::memory_for_next_part() const
 {
-    core::byte_count const size(reader_->stated_body_size());
-    if (!options_.memory || size == response_memory_.size())
+    auto const stated = reader_->stated_body_size();
+    if (stated > 0)
     {
-        return true;
+        return core::byte_count(stated);
     }
-    // A response that would never fit is read while no other one is held.
-    if (options_.memory->used().value() > 0 && !options_.memory->has_room(size))
-    {
-        return false;
-    }
-    response_memory_.resize(size);
-    return true;
+    auto const received = reader_->body_size();
+    return core::byte_count(received > 0 ? received + read_size : 0);
 }
 
-void client_connection::wait_for_room()
+void client_connection::read_response()
 {
-    room_timer_.expires_after(room_poll_interval);
-    room_timer_.async_wait([self = shared_from_this()](error_code const& ec) {
-        if (ec || !self->exchange_handler_)
+    auto const size = memory_for_next_part();
+    auto const held = response_memory_.size();
+    if (!options_.memory || size <= held)
+    {
+        read();
+        return;
+    }
+    bool const states_size = reader_->stated_body_size() > 0;
+    core::byte_count const needed(size.value() - held.value());
+    bool const unchecked =
+        !states_size && size.value() <= unchecked_response_size;
+    if (unchecked || options_.memory->can_admit(needed))
+    {
+        if (held.value() == 0 && !states_size)
         {
-            return;
+            hold_response_memory();
         }
-        if (self->has_room_for_response())
+        response_memory_.resize(size);
+        read();
+        return;
+    }
+    response_memory_.wait_for_room(
+        needed, [weak = weak_from_this(), executor = socket_.get_executor()] {
+            asio::post(executor, [weak] {
+                auto const self = weak.lock();
+                if (self && self->exchange_handler_ && !self->unusable_)
+                {
+                    self->read_response();
+                }
+            });
+        });
+    // Without this, responses that each hold a part of the memory would wait
+    // for each other until their timeouts.
+    if (options_.memory->all_wait())
+    {
+        options_.memory->make_room(needed,
+                                   core::memory_part::eviction::all_holders,
+                                   core::boot_clock::now());
+    }
+}
+
+void client_connection::hold_response_memory()
+{
+    response_started_at_ = core::boot_clock::now();
+    // The rest of the response is not known. It is assumed to be as long as
+    // what has arrived, so that the one that ends is the longest of those that
+    // arrive equally fast.
+    response_memory_.set_holder(
+        {[this] {
+             core::byte_count const size(reader_->body_size());
+             return core::transfer_progress{size, size, response_started_at_};
+         },
+         [this] { end_response_for_memory(); }});
+}
+
+void client_connection::end_response_for_memory()
+{
+    unusable_ = true;
+    response_memory_.release();
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->exchange_handler_)
         {
-            self->read();
-            return;
+            self->fail_exchange(failure_cause::out_of_memory,
+                                "the memory for responses is used up");
         }
-        self->wait_for_room();
     });
 }
 
@@ -235,7 +279,6 @@
 void client_connection::finish_exchange(exchange_result result)
 {
     timer_.cancel();
-    room_timer_.cancel();
     response_memory_.release();
     idle_since_ = core::boot_clock::now();
     if (result && !result->keep_alive)
@@ -250,7 +293,6 @@
 {
     unusable_ = true;
     timer_.cancel();
-    room_timer_.cancel();
     response_memory_.release();
     error_code ignored;
     socket_.close(ignored);
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -33,6 +33,8 @@
     invalid_response,
     // The body of the response exceeds the limit of the exchange.
     response_too_large,
+    // The memory for responses that do not state their size is used up.
+    out_of_memory,
     timed_out,
     // close() was called during the exchange.
     canceled,
@@ -61,9 +63,10 @@
     // not is discarded, and the connection reads the next one. An empty
     // function accepts every response.
     std::function<bool(response const&)> matches_request;
-    // Counts the responses that state their size, while they arrive. One that
-    // has no room is left in the kernel's buffer until it has, within the
-    // timeout. Null if responses are not counted.
+    // Counts the responses while they arrive. One that has no room is left in
+    // the kernel's buffer until it has, within the timeout. If all responses
+    // that are held wait for room, one that does not state its size ends with
+    // out_of_memory. Null if responses are not counted.
     std::shared_ptr<core::memory_part> memory;
 };
 
@@ -104,12 +107,17 @@
     void finish_exchange(exchange_result result);
     void fail_exchange(failure_cause cause, std::string detail);
     void start_timeout(core::milliseconds timeout);
-    // Returns whether there is memory for the response that has begun.
-    bool has_room_for_response();
-    void wait_for_room();
-
-    // A response that has no room is tried again after this long.
-    static constexpr core::milliseconds room_poll_interval{20};
+    // Reads the next part of the response, now or when there is memory for it.
+    void read_response();
+    // Returns the memory that the response needs before its next part is read.
+    core::byte_count memory_for_next_part() const;
+    // Lets the memory part end the response while its size is not known.
+    void hold_response_memory();
+    void end_response_for_memory();
+
+    // A response that does not state its size and is no longer than this never
+    // waits for memory.
+    static constexpr std::size_t unchecked_response_size = 16UL * 1024;
     // A response of the usual size arrives in one read.
     static constexpr std::size_t read_size = 8UL * 1024;
     // One exchange discards up to this many responses that belong to other
@@ -118,7 +126,6 @@
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    boost::asio::steady_timer room_timer_;
     std::array<char, read_size> read_buffer_{};
     std::string unparsed_bytes_;
     std::string request_bytes_;
@@ -128,6 +135,8 @@
     connect_handler connect_handler_;
     core::instant idle_since_{};
     core::held_memory response_memory_;
+    // When memory was first held for the response.
+    core::instant response_started_at_{};
     int mismatched_responses_ = 0;
     bool write_pending_ = false;
     bool read_pending_ = false;
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -314,6 +314,11 @@
                : 0;
 }
 
+std::size_t response_reader::body_size() const
+{
+    return state_->parser->get().body().size();
+}
+
 response response_reader::release()
 {
     auto message = state_->parser->release();
--- a/src/http/readers.hpp
+++ b/src/http/readers.hpp
@@ -82,6 +82,8 @@
     // Returns the size of the body that the head states, or 0 if the head is
     // not complete or states none.
     std::uint64_t stated_body_size() const;
+    // Returns the number of bytes of the body that have been received.
+    std::size_t body_size() const;
     // Returns the response. It must be called only once, after the response is
     // complete.
     response release();
