Transport: Wait for room by notification, not by polling

Cause: a connection whose frame had no room tried again every 20 ms. Each try set the time of the last read, so a silent peer counted as alive. Two nodes whose memory was full of frames for each other waited for the write timeout.

Change: the connection waits for the notification of core/memory_part, and for the time at which the next slow peer may be closed. While it waits, last_read() follows the data in the kernel's buffer (transport/arrival_monitor); if that is a quarter full, the peer may be unable to send, and what its kernel acknowledges counts as well. The part of the frames has a reserve for one response of the largest size, which only frames to receive use.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -188,7 +188,8 @@
         {"requests", it.requests.get()},
         {"responses", it.responses.get()},
         {"worker_responses", it.worker_responses.get()},
-        {"frames", it.frames.get()}};
+        {"frames", it.frames.get()},
+        {"frames_reserve", it.frames ? it.frames->reserve().get() : nullptr}};
     MetricFamily used;
     MetricFamily limit;
     used.name = "yuccafall_memory_held_bytes";
--- a/src/core/memory_part.cpp
+++ b/src/core/memory_part.cpp
@@ -1,6 +1,7 @@
 // Counts the bytes of a part and chooses the holders to end.
 #include "core/memory_part.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -39,6 +40,14 @@
     return average_rate(it, now) < static_cast<double>(slow_rate.value());
 }
 
+instant slow_after(transfer_progress const& it)
+{
+    auto const bytes = it.delivered.value() + assumed_delivered.value();
+    std::chrono::duration<double> const time(
+        static_cast<double>(bytes) / static_cast<double>(slow_rate.value()));
+    return it.since - assumed_time + std::chrono::duration_cast<duration>(time);
+}
+
 bool memory_part::has_room(byte_count needed) const
 {
     return used().value() + needed.value() <= limit_.value();
@@ -103,6 +112,17 @@
     return slowest;
 }
 
+std::optional<instant> memory_part::next_slow_holder_at() const
+{
+    auto out = reserve_ ? reserve_->next_slow_holder_at() : std::nullopt;
+    for (auto const* it : holders_)
+    {
+        auto const at = slow_after(it->holder_.progress());
+        out = std::min(out.value_or(at), at);
+    }
+    return out;
+}
+
 bool memory_part::make_room(byte_count needed, eviction from, instant now)
 {
     while (!has_room(needed))
--- a/src/core/memory_part.hpp
+++ b/src/core/memory_part.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "core/counter.hpp"
@@ -35,6 +36,9 @@
 // memory.
 bool is_slow(transfer_progress const& it, instant now);
 
+// Returns when the reader becomes slow if it takes nothing more.
+instant slow_after(transfer_progress const& it);
+
 class held_memory;
 
 // Not thread-safe except for used() and ended(), which any thread may call.
@@ -48,10 +52,17 @@
     };
 
     explicit memory_part(byte_count limit) : limit_(limit) {}
+    // With a reserve, which is a part of its own for data that must go on while
+    // this part is full.
+    memory_part(byte_count limit, byte_count reserve)
+        : limit_(limit), reserve_(std::make_shared<memory_part>(reserve))
+    {}
     memory_part(memory_part const&) = delete;
     memory_part& operator=(memory_part const&) = delete;
 
     byte_count limit() const { return limit_; }
+    // Null if the part has no reserve.
+    std::shared_ptr<memory_part> const& reserve() const { return reserve_; }
     byte_count used() const { return byte_count(value_of(used_)); }
     // Returns how many holders have been ended to make room.
     std::uint64_t ended() const { return value_of(ended_); }
@@ -64,6 +75,11 @@
     // for the rest of their data. Returns false if there is still no room.
     bool make_room(byte_count needed, eviction from, instant now);
 
+    // Returns when the next holder becomes slow if its reader takes nothing
+    // more, so that make_room() may end it. Includes the holders of the
+    // reserve. Empty if there is no holder.
+    std::optional<instant> next_slow_holder_at() const;
+
     // Returns whether all memory that is used belongs to holders that wait for
     // more of it, so that none of them can go on.
     bool all_wait() const;
@@ -81,6 +97,7 @@
     held_memory* find_slowest(eviction from, instant now) const;
 
     byte_count const limit_;
+    std::shared_ptr<memory_part> const reserve_;
     // Invariant: the sum of the sizes of all held_memory objects of this part.
     counter used_{0};
     counter ended_{0};
--- a/src/core/tests/memory_part_test.cpp
+++ b/src/core/tests/memory_part_test.cpp
@@ -162,3 +162,23 @@
     second.release();
     REQUIRE(notified == 1);
 }
+
+// Guards against data that waits for ever for a holder that has become slow
+// since the room was checked: no memory is released then.
+TEST_CASE("a part states when its next holder becomes slow")
+{
+    memory_part const empty(megabyte);
+    REQUIRE_FALSE(empty.next_slow_holder_at());
+    auto const part = std::make_shared<memory_part>(megabyte, megabyte);
+    reader steady(part, megabyte, byte_count(500'000), at(0));
+    reader unread(part->reserve(), megabyte, byte_count(0), at(0));
+    auto const slow_at = part->next_slow_holder_at();
+    REQUIRE(slow_at == at(1'000));
+    REQUIRE(part->used() == megabyte);
+    REQUIRE_FALSE(part->reserve()->make_room(
+        megabyte, memory_part::eviction::slow_holders, *slow_at));
+    REQUIRE(part->reserve()->make_room(megabyte,
+                                       memory_part::eviction::slow_holders,
+                                       *slow_at + milliseconds(1)));
+    REQUIRE_FALSE(steady.ended);
+}
--- a/src/node/resource_limits.cpp
+++ b/src/node/resource_limits.cpp
@@ -20,6 +20,8 @@
 // Largest response of a worker as a share of the memory limit. A worker runs
 // several calls at a time, and a response is copied on its way to the caller.
 constexpr std::uint64_t max_response_divisor = 20;
+// What a frame with a response holds beside the body.
+constexpr std::uint64_t max_response_head = 64UL * 1024;
 // Idle connections may take this share of the memory limit at most.
 constexpr std::uint64_t connection_memory_divisor = 4;
 // Memory of one connection without a request, most of which is its read buffer.
@@ -65,6 +67,8 @@
     out.worker_memory = share_of(it.memory_limit, worker_memory_divisor);
     out.frame_memory = share_of(it.memory_limit, frame_memory_divisor);
     out.max_response = share_of(it.memory_limit, max_response_divisor);
+    out.frame_reserve =
+        core::byte_count(out.max_response.value() + max_response_head);
     out.caller_connections = limited(
         std::min(sockets * caller_descriptors / 100, connections_in_memory),
         max_caller_connections);
--- a/src/node/resource_limits.hpp
+++ b/src/node/resource_limits.hpp
@@ -16,6 +16,8 @@
     core::byte_count response_memory;
     core::byte_count worker_memory;
     core::byte_count frame_memory;
+    // For frames that are received while the memory of frames is used up.
+    core::byte_count frame_reserve;
     // Largest response of a worker.
     core::byte_count max_response;
     core::connection_count caller_connections;
--- a/src/node/tests/resource_limits_test.cpp
+++ b/src/node/tests/resource_limits_test.cpp
@@ -63,4 +63,6 @@
     auto const total = it.request_memory.value() + it.response_memory.value() +
                        it.worker_memory.value() + it.frame_memory.value();
     REQUIRE(total * 10 <= 160UL * 1024 * 1024 * 9);
+    REQUIRE(it.frame_reserve > it.max_response);
+    REQUIRE(total + it.frame_reserve.value() <= 160UL * 1024 * 1024);
 }
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -53,7 +53,8 @@
       memory_{std::make_shared<core::memory_part>(limits_.request_memory),
               std::make_shared<core::memory_part>(limits_.response_memory),
               std::make_shared<core::memory_part>(limits_.worker_memory),
-              std::make_shared<core::memory_part>(limits_.frame_memory)}
+              std::make_shared<core::memory_part>(limits_.frame_memory,
+                                                  limits_.frame_reserve)}
 {}
 
 traffic_plane::~traffic_plane()
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -24,8 +24,10 @@
 
 namespace {
 
-// A frame that has no room is tried again after this long.
-constexpr core::milliseconds room_poll_interval{20};
+// Shortest time between two checks whether a slow peer can be closed in favour
+// of a frame that waits for memory. It limits the checks if a peer's rate stays
+// near the one that counts as slow.
+constexpr core::milliseconds min_slow_check_delay{100};
 
 // Largest number of bytes that are passed to the kernel at once.
 constexpr std::size_t max_write_size = 256UL * 1024;
@@ -68,7 +70,9 @@
     : socket_(std::move(socket)), idle_timer_(socket_.get_executor()),
       options_(std::move(options)), reader_(frame_limit_of(kind)),
       last_activity_(core::boot_clock::now()), last_read_(last_activity_),
-      memory_(options_.memory), write_timer_(socket_.get_executor()),
+      memory_(options_.memory),
+      reserved_frame_(options_.memory ? options_.memory->reserve() : nullptr),
+      write_timer_(socket_.get_executor()), room_waiter_(options_.memory),
       room_timer_(socket_.get_executor())
 {
     error_code ec;
@@ -199,7 +203,7 @@
     socket_.close(ignored);
     idle_timer_.cancel(ignored);
     write_timer_.cancel(ignored);
-    room_timer_.cancel(ignored);
+    stop_waiting_for_room();
     free_frames();
     auto handlers = std::exchange(handlers_, {});
     if (!handlers.closed)
@@ -229,6 +233,7 @@
     queue_.clear();
     queued_bytes_ = 0;
     memory_.release();
+    reserved_frame_.release();
 }
 
 void frame_connection::count_memory()
@@ -237,20 +242,34 @@
     {
         return;
     }
-    auto const size = queued_bytes_ + admitted_frame_;
+    if (memory_.size().value() + reserved_frame_.size().value() == 0)
+    {
+        busy_since_ = core::boot_clock::now();
+        written_when_busy_ = total_written_;
+    }
+    auto const in_reserve = frame_in_reserve_ ? admitted_frame_ : 0;
+    hold(memory_, queued_bytes_ + admitted_frame_ - in_reserve);
+    hold(reserved_frame_, in_reserve);
+}
+
+void frame_connection::hold(core::held_memory& it, std::size_t size)
+{
+    // An object that holds nothing may wait for room, which release() ends.
+    if (it.size().value() == size)
+    {
+        return;
+    }
     if (size == 0)
     {
-        memory_.release();
+        it.release();
         return;
     }
-    if (memory_.size().value() == 0)
+    if (it.size().value() == 0)
     {
-        busy_since_ = core::boot_clock::now();
-        written_when_busy_ = total_written_;
-        memory_.set_holder(
+        it.set_holder(
             {[this] { return progress(); }, [this] { close_for_memory(); }});
     }
-    memory_.resize(core::byte_count(size));
+    it.resize(core::byte_count(size));
 }
 
 core::transfer_progress frame_connection::progress() const
@@ -337,34 +356,111 @@
     {
         return true;
     }
-    // A frame that would never fit is received while nothing else is held.
-    if (length > max_unpaced_message.value() &&
-        options_.memory->used().value() > 0 &&
-        !options_.memory->make_room(core::byte_count(length),
-                                    core::memory_part::eviction::slow_holders,
-                                    core::boot_clock::now()))
+    auto* part = options_.memory.get();
+    if (length > max_unpaced_message.value())
+    {
+        part = find_part_with_room(core::byte_count(length));
+    }
+    if (part == nullptr)
     {
         return false;
     }
+    frame_in_reserve_ = part != options_.memory.get();
     admitted_frame_ = length;
     count_memory();
     return true;
 }
 
+bool frame_connection::fits_reserve(core::byte_count needed) const
+{
+    auto const& reserve = options_.memory->reserve();
+    return reserve && needed <= reserve->limit();
+}
+
+core::memory_part*
+frame_connection::find_part_with_room(core::byte_count needed)
+{
+    auto* const part = options_.memory.get();
+    auto* const reserve = part->reserve().get();
+    auto const now = core::boot_clock::now();
+    if (part->can_admit(needed))
+    {
+        return part;
+    }
+    if (fits_reserve(needed) && reserve->has_room(needed))
+    {
+        return reserve;
+    }
+    part->make_room(needed, core::memory_part::eviction::slow_holders, now);
+    // A frame that would never fit is received while nothing else is held.
+    if (part->can_admit(needed))
+    {
+        return part;
+    }
+    if (fits_reserve(needed) &&
+        reserve->make_room(needed, core::memory_part::eviction::slow_holders,
+                           now))
+    {
+        return reserve;
+    }
+    return nullptr;
+}
+
 void frame_connection::wait_for_room()
 {
-    room_timer_.expires_after(room_poll_interval);
+    if (!std::exchange(waiting_for_room_, true))
+    {
+        unread_data_.start(socket_);
+    }
+    auto const notify = [weak = weak_from_this(), on = executor()] {
+        asio::post(on, [weak] {
+            if (auto const self = weak.lock())
+            {
+                self->read();
+            }
+        });
+    };
+    core::byte_count const needed(reader_.frame_length());
+    room_waiter_.wait_for_room(needed, notify);
+    if (fits_reserve(needed))
+    {
+        reserved_frame_.wait_for_room(needed, notify);
+    }
+    room_timer_.expires_at(asio::steady_timer::time_point::max());
+    auto const next_check = options_.memory->next_slow_holder_at();
+    if (next_check)
+    {
+        room_timer_.expires_after(std::max<core::duration>(
+            *next_check - core::boot_clock::now(), min_slow_check_delay));
+    }
     // As a pending read does, the timer keeps the connection alive.
     room_timer_.async_wait([self = shared_from_this()](error_code const& ec) {
         if (!ec)
         {
-            // The peer has sent data that this node does not read.
-            self->last_read_ = core::boot_clock::now();
             self->read();
         }
     });
 }
 
+void frame_connection::stop_waiting_for_room()
+{
+    if (std::exchange(waiting_for_room_, false))
+    {
+        room_waiter_.stop_waiting();
+        reserved_frame_.stop_waiting();
+        error_code ignored;
+        room_timer_.cancel(ignored);
+    }
+}
+
+core::instant frame_connection::last_read()
+{
+    auto const arrival =
+        waiting_for_room_ ? unread_data_.new_arrival(socket_) : std::nullopt;
+    last_read_ = std::max(last_read_, arrival.value_or(last_read_));
+    return last_read_;
+}
+
 void frame_connection::read()
 {
     if (!open_ || paused_ || !started_ || reading_)
@@ -381,6 +477,7 @@
     {
         return;
     }
+    stop_waiting_for_room();
     reading_ = true;
     auto const space = reader_.prepare();
     socket_.async_read_some(
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -18,6 +18,7 @@
 #include "core/error.hpp"
 #include "core/memory_part.hpp"
 #include "core/units.hpp"
+#include "transport/arrival_monitor.hpp"
 #include "transport/frame_reader.hpp"
 #include "transport/paced_link.hpp"
 
@@ -42,8 +43,10 @@
     // Counts the frames that are queued or being received, over all connections
     // that share it. If a frame to send has no room, the connections with the
     // slowest peers are closed. If a frame to receive has no room, it is left
-    // in the kernel's buffer until it has. All of them must run on one thread.
-    // Null if only queue_limit applies.
+    // in the kernel's buffer until it has. The reserve of the part is used only
+    // by frames to receive, so that two nodes whose memory is full of frames
+    // for each other go on. All connections must run on one thread. Null if
+    // only queue_limit applies.
     std::shared_ptr<core::memory_part> memory;
     // A connection is closed if its peer takes no byte of a frame for this
     // long. Zero disables the timeout.
@@ -86,9 +89,10 @@
     // full. A full queue closes the connection.
     bool send(std::string frame);
 
-    // Returns when bytes were received most recently, whether or not they
-    // completed a frame.
-    core::instant last_read() const { return last_read_; }
+    // Returns when bytes arrived most recently, whether or not they completed a
+    // frame. While a frame waits for memory, bytes count that are still in the
+    // kernel's buffer; they count as arrived when this function finds them.
+    core::instant last_read();
 
     // Stops reading, so that the peer's frames stay in the kernel's buffer
     // until resume(). A read that is already pending is still delivered.
@@ -146,8 +150,14 @@
     void record_write_progress(std::size_t accepted);
     // Returns whether there is memory for the frame that is being received.
     bool has_room_for_frame();
+    // Returns the part or its reserve, or null if neither has room for a frame.
+    // May close the connections of slow peers, which may be this one.
+    core::memory_part* find_part_with_room(core::byte_count needed);
+    bool fits_reserve(core::byte_count needed) const;
     void wait_for_room();
+    void stop_waiting_for_room();
     void count_memory();
+    void hold(core::held_memory& it, std::size_t size);
     core::transfer_progress progress() const;
     void close_for_memory();
     void log_end(char const* reason) const;
@@ -183,10 +193,19 @@
     bool write_check_scheduled_ = false;
     core::instant last_activity_;
     core::instant last_read_;
-    // Counts queued_bytes_ and admitted_frame_.
+    // Counts queued_bytes_, and admitted_frame_ unless it is in the reserve.
     core::held_memory memory_;
+    // Counts admitted_frame_ if it is in the reserve. While a frame waits for
+    // memory, waits for room in the reserve.
+    core::held_memory reserved_frame_;
+    bool frame_in_reserve_ = false;
     boost::asio::steady_timer write_timer_;
+    // Waits for room in the part while a frame waits for memory. Holds none.
+    core::held_memory room_waiter_;
+    // Runs while a frame waits for memory, until a slow peer can be closed.
     boost::asio::steady_timer room_timer_;
+    arrival_monitor unread_data_;
+    bool waiting_for_room_ = false;
     std::string remote_;
     bool open_ = true;
     bool started_ = false;
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -367,3 +367,100 @@
     client->close_silently();
     net.run_until([&] { return net.server_closed.has_value(); });
 }
+
+// Guards against a timer that runs all the time while a frame waits for memory,
+// and against a peer that is taken for one that still sends.
+TEST_CASE("a peer that is silent while its frame waits does not count as alive")
+{
+    acceptor_options options;
+    auto const memory =
+        std::make_shared<core::memory_part>(core::byte_count(1'000'000));
+    options.connection.memory = memory;
+    loopback net(options);
+    core::held_memory other(memory);
+    other.resize(core::byte_count(1'000'000));
+    auto peer = raw_socket(net);
+    std::string const kind("\0\0\0\1\1", 5);
+    std::string const frame(500'000, 'x');
+    auto const header = encode_frame_length(frame.size());
+    send_raw(peer, kind + std::string(header.data(), header.size()) + "begin");
+    net.run_until([&] { return net.server != nullptr; });
+    net.context.restart();
+    net.context.run_for(std::chrono::milliseconds(100));
+    auto const last_read = net.server->last_read();
+    net.context.restart();
+    REQUIRE(net.context.run_for(std::chrono::milliseconds(200)) == 0);
+    REQUIRE(net.server->last_read() == last_read);
+    send_raw(peer, "more");
+    REQUIRE(net.server->last_read() > last_read);
+    other.release();
+    send_raw(peer, std::string(frame.size() - 9, 'x'));
+    net.run_until([&] { return net.received_frames.size() == 1; });
+    peer.close();
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
+
+// Guards against closing the connection to a peer that cannot send more, since
+// this node does not read.
+TEST_CASE("a peer that has filled the receive buffer counts as alive")
+{
+    acceptor_options options;
+    auto const memory =
+        std::make_shared<core::memory_part>(core::byte_count(1'000'000));
+    options.connection.memory = memory;
+    loopback net(options);
+    core::held_memory other(memory);
+    other.resize(core::byte_count(1'000'000));
+    auto const client = net.connect();
+    client->start({});
+    net.run_until([&] { return net.server != nullptr; });
+    REQUIRE(client->send(std::string(8'000'000, 'x')));
+    net.context.restart();
+    net.context.run_for(std::chrono::milliseconds(200));
+    auto const last_read = net.server->last_read();
+    // The kernel of the peer acknowledges a short frame.
+    REQUIRE(net.server->send("ping"));
+    net.context.restart();
+    net.context.run_for(std::chrono::milliseconds(200));
+    REQUIRE(net.server->last_read() > last_read);
+    client->close_silently();
+    other.release();
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
+
+// Guards against two nodes that do not read since their memory is full of
+// frames for each other. The write timeout ended the connection.
+TEST_CASE("two nodes whose memory is full of frames for each other go on")
+{
+    constexpr core::byte_count limit(32'000'000);
+    constexpr core::byte_count reserve(8'000'000);
+    constexpr std::size_t frames = 4;
+    std::string const frame(7'500'000, 'x');
+    connection_options client_options;
+    client_options.memory = std::make_shared<core::memory_part>(limit, reserve);
+    client_options.write_timeout = core::milliseconds(10'000);
+    acceptor_options options;
+    options.connection.memory =
+        std::make_shared<core::memory_part>(limit, reserve);
+    options.connection.write_timeout = core::milliseconds(10'000);
+    loopback net(options);
+    auto const client = net.connect(channel_kind::traffic, client_options);
+    std::size_t responses = 0;
+    std::optional<core::error> closed;
+    client->start({[&](std::string const&) { ++responses; }, nullptr,
+                   [&](core::error const& it) { closed = it; }});
+    net.run_until([&] { return net.server != nullptr; });
+    for (std::size_t n = 0; n < frames; ++n)
+    {
+        REQUIRE(client->send(frame));
+        REQUIRE(net.server->send(frame));
+    }
+    net.run_until([&] {
+        return closed || net.server_closed ||
+               (responses == frames && net.received_frames.size() == frames);
+    });
+    REQUIRE_FALSE(closed);
+    REQUIRE_FALSE(net.server_closed);
+    client->close_silently();
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
