Node: Count control frames in a memory part of their own

Cause: control frames were outside of the memory account.

Change: the connections of control_links share the part control_frames (1/16 of memory_mb), which only the control thread uses. A peer that takes no byte for 10 s is closed. make_memory_account() makes the parts from the limits.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -189,7 +189,8 @@
         {"responses", it.responses.get()},
         {"worker_responses", it.worker_responses.get()},
         {"frames", it.frames.get()},
-        {"frames_reserve", it.frames ? it.frames->reserve().get() : nullptr}};
+        {"frames_reserve", it.frames ? it.frames->reserve().get() : nullptr},
+        {"control_frames", it.control_frames.get()}};
     MetricFamily used;
     MetricFamily limit;
     used.name = "yuccafall_memory_held_bytes";
--- a/src/core/memory_account.hpp
+++ b/src/core/memory_account.hpp
@@ -18,8 +18,11 @@
     std::shared_ptr<memory_part> responses;
     // Responses that are arriving from the worker beside the node.
     std::shared_ptr<memory_part> worker_responses;
-    // Frames between nodes that are queued or being received.
+    // Frames between nodes that are queued or being received, for calls.
     std::shared_ptr<memory_part> frames;
+    // The same for control frames. Used on the control thread, the other parts
+    // on the traffic thread.
+    std::shared_ptr<memory_part> control_frames;
 };
 
 } // namespace yuccafall::core
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -29,20 +29,27 @@
 // A connection without a frame in either direction for this long is closed.
 // Sources send a confirmation of their copy about once a second.
 constexpr core::milliseconds idle_timeout{6'000};
+// A connection whose peer takes no byte of a frame for this long is closed.
+constexpr core::milliseconds write_timeout{10'000};
 
-transport::connection_options link_options()
+transport::connection_options
+link_options(std::shared_ptr<core::memory_part> memory)
 {
     transport::connection_options it;
     it.idle_timeout = idle_timeout;
+    it.write_timeout = write_timeout;
+    it.memory = std::move(memory);
     return it;
 }
 
 } // namespace
 
 control_links::control_links(boost::asio::io_context& context,
+                             std::shared_ptr<core::memory_part> memory,
                              event_handler on_event,
                              poison_notice_handler on_poison_notice)
-    : context_(context), timer_(context), on_event_(std::move(on_event)),
+    : context_(context), link_options_(link_options(std::move(memory))),
+      timer_(context), on_event_(std::move(on_event)),
       on_poison_notice_(std::move(on_poison_notice))
 {}
 
@@ -50,7 +57,7 @@
 {
     transport::acceptor_options options;
     options.kind = transport::channel_kind::control;
-    options.connection = link_options();
+    options.connection = link_options_;
     auto opened = transport::frame_acceptor::listen(
         context_, at, options,
         [weak = weak_from_this()](
@@ -135,7 +142,7 @@
 {
     transport::frame_connection::connect(
         context_.get_executor(), to, transport::channel_kind::control,
-        link_options(), connect_timeout,
+        link_options_, connect_timeout,
         [weak = weak_from_this(),
          to](core::result<std::shared_ptr<transport::frame_connection>> it) {
             auto const self = weak.lock();
--- a/src/node/control_links.hpp
+++ b/src/node/control_links.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/memory_part.hpp"
 #include "poison/suspect_list.hpp"
 #include "replication/replicator.hpp"
 #include "transport/frame_acceptor.hpp"
@@ -27,7 +28,11 @@
         std::function<void(replication::replicator_event const&)>;
     using poison_notice_handler = std::function<void(poison::notice const&)>;
 
-    control_links(boost::asio::io_context& context, event_handler on_event,
+    // The memory counts the frames of all connections. It must not be used on
+    // another thread.
+    control_links(boost::asio::io_context& context,
+                  std::shared_ptr<core::memory_part> memory,
+                  event_handler on_event,
                   poison_notice_handler on_poison_notice);
 
     core::result<void> listen(core::endpoint const& at);
@@ -62,6 +67,7 @@
     void connect_due_sources();
 
     boost::asio::io_context& context_;
+    transport::connection_options link_options_;
     boost::asio::steady_timer timer_;
     event_handler on_event_;
     poison_notice_handler on_poison_notice_;
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -72,9 +72,11 @@
 } // namespace
 
 control_plane::control_plane(boost::asio::io_context& context,
-                             node::settings settings, publish_function publish)
+                             node::settings settings,
+                             std::shared_ptr<core::memory_part> frame_memory,
+                             publish_function publish)
     : context_(context), timer_(context), settings_(std::move(settings)),
-      publish_(std::move(publish)),
+      frame_memory_(std::move(frame_memory)), publish_(std::move(publish)),
       store_(std::make_shared<platform::store_client>(
           context, platform::store_settings{settings_.platform})),
       replicator_(replicator_settings_of(settings_), random_seed()),
@@ -84,7 +86,7 @@
 core::result<void> control_plane::start()
 {
     links_ = std::make_shared<control_links>(
-        context_,
+        context_, frame_memory_,
         [weak = weak_from_this()](replication::replicator_event const& it) {
             if (auto const self = weak.lock())
             {
--- a/src/node/control_plane.hpp
+++ b/src/node/control_plane.hpp
@@ -31,7 +31,9 @@
     using publish_function =
         std::function<void(std::shared_ptr<ingress::traffic_view const>)>;
 
+    // The memory counts the control frames between nodes.
     control_plane(boost::asio::io_context& context, node::settings settings,
+                  std::shared_ptr<core::memory_part> frame_memory,
                   publish_function publish);
 
     core::result<void> start();
@@ -89,6 +91,7 @@
     boost::asio::io_context& context_;
     boost::asio::steady_timer timer_;
     node::settings settings_;
+    std::shared_ptr<core::memory_part> frame_memory_;
     publish_function publish_;
     std::shared_ptr<platform::store_client> store_;
     replication::replicator replicator_;
--- a/src/node/resource_limits.cpp
+++ b/src/node/resource_limits.cpp
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace yuccafall::node {
 
@@ -15,6 +16,9 @@
 // Larger than the memory of requests, so that a frame with the largest body has
 // room beside others.
 constexpr std::uint64_t frame_memory_divisor = 4;
+// Room for 16 frames of 500 kB on the smallest VM (160 MB), since a node sends
+// the changes to up to 16 others. Changes are compressed.
+constexpr std::uint64_t control_frame_memory_divisor = 16;
 constexpr std::uint64_t response_memory_divisor = 4;
 constexpr std::uint64_t worker_memory_divisor = 5;
 // Largest response of a worker as a share of the memory limit. A worker runs
@@ -69,6 +73,8 @@
     out.max_response = share_of(it.memory_limit, max_response_divisor);
     out.frame_reserve =
         core::byte_count(out.max_response.value() + max_response_head);
+    out.control_frame_memory =
+        share_of(it.memory_limit, control_frame_memory_divisor);
     out.caller_connections = limited(
         std::min(sockets * caller_descriptors / 100, connections_in_memory),
         max_caller_connections);
@@ -77,6 +83,20 @@
     return out;
 }
 
+core::memory_account make_memory_account(resource_limits const& it)
+{
+    auto const make_part = [](auto... sizes) {
+        return std::make_shared<core::memory_part>(sizes...);
+    };
+    core::memory_account out;
+    out.requests = make_part(it.request_memory);
+    out.responses = make_part(it.response_memory);
+    out.worker_responses = make_part(it.worker_memory);
+    out.frames = make_part(it.frame_memory, it.frame_reserve);
+    out.control_frames = make_part(it.control_frame_memory);
+    return out;
+}
+
 descriptor_count descriptor_limit()
 {
     rlimit it{};
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -99,7 +99,7 @@
         readiness_settings.max_connections = max_readiness_connections;
         readiness_server_->set_settings(readiness_settings);
         control_ = std::make_shared<control_plane>(
-            context_, settings_,
+            context_, settings_, traffic_.memory().control_frames,
             [this](std::shared_ptr<ingress::traffic_view const> view) {
                 traffic_.publish(std::move(view));
             });
--- a/src/node/tests/resource_limits_test.cpp
+++ b/src/node/tests/resource_limits_test.cpp
@@ -65,4 +65,19 @@
     REQUIRE(total * 10 <= 160UL * 1024 * 1024 * 9);
     REQUIRE(it.frame_reserve > it.max_response);
     REQUIRE(total + it.frame_reserve.value() <= 160UL * 1024 * 1024);
+    REQUIRE(total + it.control_frame_memory.value() <= 160UL * 1024 * 1024);
+}
+
+// Guards against one kind of data that takes the memory of another.
+TEST_CASE("control frames have a part of their own")
+{
+    auto const it = make_memory_account(limits_for(with_limits(160, 0), many));
+    core::held_memory control(it.control_frames);
+    control.resize(it.control_frames->limit());
+    REQUIRE(it.frames->used() == core::byte_count(0));
+    REQUIRE(it.requests->used() == core::byte_count(0));
+    control.release();
+    core::held_memory frames(it.frames);
+    frames.resize(it.frames->limit());
+    REQUIRE(it.control_frames->has_room(it.control_frames->limit()));
 }
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -50,11 +50,7 @@
       ingress_counters_(std::make_shared<ingress::counters>()),
       upstream_counters_(std::make_shared<upstream::counters>()),
       limits_(limits_for(settings_, descriptor_limit())),
-      memory_{std::make_shared<core::memory_part>(limits_.request_memory),
-              std::make_shared<core::memory_part>(limits_.response_memory),
-              std::make_shared<core::memory_part>(limits_.worker_memory),
-              std::make_shared<core::memory_part>(limits_.frame_memory,
-                                                  limits_.frame_reserve)}
+      memory_(make_memory_account(limits_))
 {}
 
 traffic_plane::~traffic_plane()
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -60,7 +60,8 @@
         return upstream_counters_;
     }
 
-    // The sizes of the parts may be read on any thread.
+    // The sizes of the parts may be read on any thread. The parts that
+    // memory_account assigns to the control thread must be used only there.
     core::memory_account const& memory() const { return memory_; }
 
 private:
