Admin: Bound operators' connections, requests and responses

Cause: the operators' endpoint accepted 2,000 connections whatever the descriptors, and held up to 48 MB of requests and any number of responses outside of the memory account.

Change: connections get 5 % of the descriptors, at most 256, and idle ones give way. Requests and responses count in the part operators (1/64 of memory_mb). Requests to endpoints.readiness are still outside of the account; the table of untrusted-clients.md states them as open.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -41,7 +41,7 @@
 
 core::result<std::shared_ptr<admin_server>>
 admin_server::listen(boost::asio::io_context& context, core::endpoint const& at,
-                     admin_sources sources)
+                     admin_sources sources, admin_limits const& limits)
 {
     auto it = std::make_shared<admin_server>(context, std::move(sources));
     auto opened = http::server::listen(
@@ -62,6 +62,11 @@
         return tl::unexpected(opened.error());
     }
     it->server_ = std::move(*opened);
+    auto settings = it->server_->settings();
+    settings.max_connections = limits.connections;
+    settings.request_memory = limits.memory;
+    settings.response_memory = limits.memory;
+    it->server_->set_settings(settings);
     return it;
 }
 
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -28,6 +28,18 @@
     std::function<std::vector<node_address>()> nodes;
 };
 
+// What operators can make a node hold.
+struct admin_limits
+{
+    // When this many connections are open, an idle one is closed for each new
+    // one.
+    core::connection_count connections;
+    // Counts requests and responses. When it is full, requests are answered
+    // 503, and the slowest readers of responses are ended. It must be used on
+    // the thread of the server.
+    std::shared_ptr<core::memory_part> memory;
+};
+
 // Each instance must be used only on the thread that runs its io_context, which
 // is the control thread.
 class admin_server : public std::enable_shared_from_this<admin_server>
@@ -35,7 +47,7 @@
 public:
     static core::result<std::shared_ptr<admin_server>>
     listen(boost::asio::io_context& context, core::endpoint const& at,
-           admin_sources sources);
+           admin_sources sources, admin_limits const& limits);
 
     admin_server(boost::asio::io_context& context, admin_sources sources)
         : context_(context), sources_(std::move(sources))
--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -190,7 +190,8 @@
         {"worker_responses", it.worker_responses.get()},
         {"frames", it.frames.get()},
         {"frames_reserve", it.frames ? it.frames->reserve().get() : nullptr},
-        {"control_frames", it.control_frames.get()}};
+        {"control_frames", it.control_frames.get()},
+        {"operators", it.operators.get()}};
     MetricFamily used;
     MetricFamily limit;
     used.name = "yuccafall_memory_held_bytes";
--- a/src/core/memory_account.hpp
+++ b/src/core/memory_account.hpp
@@ -20,9 +20,11 @@
     std::shared_ptr<memory_part> worker_responses;
     // Frames between nodes that are queued or being received, for calls.
     std::shared_ptr<memory_part> frames;
-    // The same for control frames. Used on the control thread, the other parts
-    // on the traffic thread.
+    // The parts above are used on the traffic thread, those below on the
+    // control thread.
     std::shared_ptr<memory_part> control_frames;
+    // Requests and responses of operators.
+    std::shared_ptr<memory_part> operators;
 };
 
 } // namespace yuccafall::core
--- a/src/node/resource_limits.cpp
+++ b/src/node/resource_limits.cpp
@@ -19,6 +19,8 @@
 // Room for 16 frames of 500 kB on the smallest VM (160 MB), since a node sends
 // the changes to up to 16 others. Changes are compressed.
 constexpr std::uint64_t control_frame_memory_divisor = 16;
+// Operators' requests have no bodies, and the longest response lists all nodes.
+constexpr std::uint64_t operator_memory_divisor = 64;
 constexpr std::uint64_t response_memory_divisor = 4;
 constexpr std::uint64_t worker_memory_divisor = 5;
 // Largest response of a worker as a share of the memory limit. A worker runs
@@ -34,13 +36,17 @@
 // The platform uses these of the process's descriptors.
 constexpr std::uint64_t reserved_descriptors = 200;
 // Shares of the others in percent. The rest is for links to other nodes, the
-// worker, the store and operators.
+// worker, the store and the platform's readiness checks.
 constexpr std::uint64_t caller_descriptors = 60;
 constexpr std::uint64_t session_descriptors = 20;
+constexpr std::uint64_t operator_descriptors = 5;
 constexpr std::uint64_t max_descriptors = 1'000'000;
 // Limits that apply however many descriptors there are.
 constexpr std::uint64_t max_caller_connections = 20'000;
 constexpr std::uint64_t max_sessions = 4'096;
+// Operators' tools and the nodes that collect the status of all nodes open one
+// connection each.
+constexpr std::uint64_t max_operator_connections = 256;
 
 core::byte_count share_of(core::byte_count memory, std::uint64_t divisor)
 {
@@ -75,11 +81,14 @@
         core::byte_count(out.max_response.value() + max_response_head);
     out.control_frame_memory =
         share_of(it.memory_limit, control_frame_memory_divisor);
+    out.operator_memory = share_of(it.memory_limit, operator_memory_divisor);
     out.caller_connections = limited(
         std::min(sockets * caller_descriptors / 100, connections_in_memory),
         max_caller_connections);
     out.peer_sessions =
         limited(sockets * session_descriptors / 100, max_sessions);
+    out.operator_connections =
+        limited(sockets * operator_descriptors / 100, max_operator_connections);
     return out;
 }
 
@@ -94,6 +103,7 @@
     out.worker_responses = make_part(it.worker_memory);
     out.frames = make_part(it.frame_memory, it.frame_reserve);
     out.control_frames = make_part(it.control_frame_memory);
+    out.operators = make_part(it.operator_memory);
     return out;
 }
 
--- a/src/node/resource_limits.hpp
+++ b/src/node/resource_limits.hpp
@@ -21,11 +21,14 @@
     // For frames that are received while the memory of frames is used up.
     core::byte_count frame_reserve;
     core::byte_count control_frame_memory;
+    // Requests and responses of operators.
+    core::byte_count operator_memory;
     // Largest response of a worker.
     core::byte_count max_response;
     core::connection_count caller_connections;
     // Connections that other nodes open for calls.
     core::connection_count peer_sessions;
+    core::connection_count operator_connections;
 };
 
 // The second argument is the number of descriptors that the operating system
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -105,7 +105,9 @@
             });
         auto admin_server = admin::admin_server::listen(
             context_, settings_.operators,
-            {[this] { return state(); }, [this] { return control_->nodes(); }});
+            {[this] { return state(); }, [this] { return control_->nodes(); }},
+            {traffic_.limits().operator_connections,
+             traffic_.memory().operators});
         if (!admin_server)
         {
             return tl::unexpected(admin_server.error());
--- a/src/node/tests/resource_limits_test.cpp
+++ b/src/node/tests/resource_limits_test.cpp
@@ -33,6 +33,9 @@
         REQUIRE(it.caller_connections.value() > 0);
         REQUIRE(open * 10 <= descriptors * 8);
         REQUIRE(open + 100 <= descriptors);
+        auto const operators = it.operator_connections.value();
+        REQUIRE(operators > 0);
+        REQUIRE((open + operators) * 100 <= descriptors * 85);
     }
     REQUIRE(limits_for(with_limits(160, 4'100), many).caller_connections ==
             core::connection_count(2'340));
@@ -65,7 +68,9 @@
     REQUIRE(total * 10 <= 160UL * 1024 * 1024 * 9);
     REQUIRE(it.frame_reserve > it.max_response);
     REQUIRE(total + it.frame_reserve.value() <= 160UL * 1024 * 1024);
-    REQUIRE(total + it.control_frame_memory.value() <= 160UL * 1024 * 1024);
+    REQUIRE(total + it.control_frame_memory.value() +
+                it.operator_memory.value() <=
+            160UL * 1024 * 1024);
 }
 
 // Guards against one kind of data that takes the memory of another.
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -60,6 +60,7 @@
         return upstream_counters_;
     }
 
+    resource_limits const& limits() const { return limits_; }
     // The sizes of the parts may be read on any thread. The parts that
     // memory_account assigns to the control thread must be used only there.
     core::memory_account const& memory() const { return memory_; }
