--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -99,14 +99,16 @@
         readiness_settings.max_connections = max_readiness_connections;
         readiness_server_->set_settings(readiness_settings);
         control_ = std::make_shared<control_plane>(
-            context_, settings_,
+            context_, settings_, traffic_.memory().control_frames,
             [this](std::shared_ptr<ingress::traffic_view const> view) {
                 traffic_.publish(std::move(view));
             });
         auto admin_server = admin::admin_server::listen(
             context_, settings_.operators,
             {[this] { return state(); }, [this] { return control_->nodes(); },
-             [this] { return control_->configuration_in_force(); }});
+             [this] { return control_->configuration_in_force(); }},
+            {traffic_.limits().operator_connections,
+             traffic_.memory().operators});
         if (!admin_server)
         {
             return tl::unexpected(admin_server.error());
--- a/src/node/traffic_plane.hpp
+++ b/src/node/traffic_plane.hpp
@@ -60,7 +60,9 @@
         return upstream_counters_;
     }
 
-    // The sizes of the parts may be read on any thread.
+    resource_limits const& limits() const { return limits_; }
+    // The sizes of the parts may be read on any thread. The parts that
+    // memory_account assigns to the control thread must be used only there.
     core::memory_account const& memory() const { return memory_; }
 
 private:
