Admission: Refuse a call at the first node if every queue would refuse it

Cause: a call that no worker has room for crossed the network to be refused by the node beside a worker, and all callers that one queue refuses get the same Retry-After.

It refuses a call that is not nested if all of them would, by reports younger than 250 ms. It has no state, and admits one in ten of such calls. The node asks before each offer of a call that has not reached a worker, logs refused_at_first_node in place of call_ended and counts by rank; yuccafall trace takes that line as the end of a request.

--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -100,9 +100,10 @@
                    t.worth_ratio());
     }
     fmt::print("worth={:.3f} nested={} nested_failed={} mean_wait_ms={:.1f} "
-               "mb_between_data_centres={:.1f}\n",
+               "mb_between_data_centres={:.1f} refused_at_first_node={}\n",
                it.total().worth_ratio(), it.nested, it.nested_failed,
-               it.mean_wait_ms, it.megabytes_between_data_centres);
+               it.mean_wait_ms, it.megabytes_between_data_centres,
+               it.refused_at_first_node);
 }
 
 void print_seconds(simulation_result const& it)
@@ -141,12 +142,16 @@
     {
         it.spreads_load = false;
     }
+    else if (rule == "first-node")
+    {
+        it.refuses_at_first_node = false;
+    }
     else if (!rule.empty())
     {
         return core::failure(
             core::error_kind::invalid_settings,
             "unknown rule; the rules are paced-bodies, paced-responses, "
-            "free-slots, nested-first, even-load");
+            "free-slots, nested-first, even-load, first-node");
     }
     return it;
 }
--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "admission/first_node_admission.hpp"
 #include "admission/slot_queue.hpp"
 #include "balancing/upstream_scores.hpp"
 #include "bench/model/event_queue.hpp"
@@ -501,6 +502,11 @@
             end_call(*call, {call_status::refused, call->retry_after});
             return;
         }
+        if (auto const retry_after = first_node_retry_delay(*call, *chosen))
+        {
+            end_call(*call, {call_status::refused, *retry_after});
+            return;
+        }
         bool const wants_free_slot =
             rules_.prefers_free_slots && chosen->has_alternative &&
             call->offers_for_free_slot < ingress::max_offers_for_free_slot;
@@ -517,6 +523,26 @@
              });
     }
 
+    // Returns the retry delay of a call that is refused at the caller's node,
+    // or nothing if the call is offered.
+    std::optional<milliseconds>
+    first_node_retry_delay(call_state const& call,
+                           balancing::chosen const& choice)
+    {
+        if (!rules_.refuses_at_first_node || call.workers_reached > 0)
+        {
+            return std::nullopt;
+        }
+        auto const decision = admission::decide_first_node_admission(
+            {call.nested, call.deadline, call.target_time}, choice.candidates,
+            events_.now(), random_);
+        auto const* refused =
+            std::get_if<admission::first_node_refused>(&decision);
+        result_.refused_at_first_node += refused == nullptr ? 0 : 1;
+        return refused == nullptr ? std::nullopt
+                                  : std::optional(refused->retry_after);
+    }
+
     void end_call(call_state& call, call_outcome const& outcome)
     {
         auto const on_end = std::move(call.on_end);
--- a/bench/model/simulation.hpp
+++ b/bench/model/simulation.hpp
@@ -1,7 +1,8 @@
 // Simulates a deployment under load on a simulated clock. The simulated nodes
-// make their decisions with the code of the real program: slot queue, choice of
-// upstreams, next step after a refusal, estimate of the callers' timeouts and
-// retry budget. There are no sockets, and nodes do not fail.
+// make their decisions with the code of the real program: slot queue, admission
+// at the first node, choice of upstreams, next step after a refusal, estimate
+// of the callers' timeouts and retry budget. There are no sockets, and nodes do
+// not fail.
 //
 // A rule of the model is a part of the nodes' behaviour that a simulation can
 // disable, to measure how much worth callers lose without it.
@@ -34,6 +35,8 @@
     // Load reports are interpreted by their age, and calls are spread over the
     // workers that seem free.
     bool spreads_load = true;
+    // A call that every queue would refuse is refused at the caller's node.
+    bool refuses_at_first_node = true;
 };
 
 // Results of callers' requests.
@@ -81,6 +84,8 @@
     std::uint64_t offers = 0;
     std::uint64_t waits_beside_free_worker = 0;
     std::uint64_t refusals_beside_free_worker = 0;
+    // Number of calls that were refused at the caller's node without an offer.
+    std::uint64_t refused_at_first_node = 0;
     load_ratios busiest_to_mean;
 
     request_stats total() const;
--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -8,22 +8,10 @@
 
 namespace {
 
-// After a shorter delay, a caller would retry before one running call has ended
-// and freed a slot.
-constexpr core::milliseconds min_retry_after{30};
-// A peak in demand is over after this delay. Callers wait for at most a third
-// of the time that they have left, so a longer delay would have no effect.
-constexpr core::milliseconds max_retry_after{2'000};
-
 // A call that is late in any case takes the link only while no other long
 // responses are waiting for it, apart from about one.
 constexpr core::milliseconds max_link_wait_if_late{100};
 
-// Service times are skewed: half of all calls end before the mean, earlier by
-// about this part of it. A call is refused as late only if that is probable,
-// since its caller would come back with less time left.
-constexpr int mean_to_median_divisor = 3;
-
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::chrono::duration_cast<core::milliseconds>(it);
@@ -58,7 +46,7 @@
 
 std::size_t slot_queue::max_late_calls() const
 {
-    return settings_.slots.value() * settings_.max_late_share.value() / 100;
+    return admission::max_late_calls(settings_.slots, settings_.max_late_share);
 }
 
 core::milliseconds slot_queue::retry_delay(core::instant now) const
@@ -143,10 +131,8 @@
         std::max(run_ends_at, now + link_wait) + own_response_time;
     bool const must_wait =
         wait > core::duration::zero() || now + link_wait > run_ends_at;
-    // A call that just meets its deadline by the estimate fails half of the
-    // time, after it has held a slot.
-    if (must_wait &&
-        ends_at + new_call.expected_service_time / 2 > job.deadline)
+    if (must_wait && would_miss_deadline(
+                         ends_at, new_call.expected_service_time, job.deadline))
     {
         out.emplace_back(refuse_call{job.call, core::error_kind::overloaded,
                                      retry_delay(now), waits_for_cold_rate});
@@ -163,10 +149,9 @@
                                    max_retry_after)});
         return;
     }
-    auto const probable_end =
-        ends_at - new_call.expected_service_time / mean_to_median_divisor;
-    bool const late =
-        wait > core::duration::zero() && probable_end > job.target_time;
+    bool const late = wait > core::duration::zero() &&
+                      is_probably_late(ends_at, new_call.expected_service_time,
+                                       job.target_time);
     if (late && !job.nested && waiting_.size() >= max_late_calls())
     {
         out.emplace_back(refuse_call{job.call, core::error_kind::overloaded,
--- a/src/admission/slot_queue.hpp
+++ b/src/admission/slot_queue.hpp
@@ -24,6 +24,7 @@
 #include "admission/body_pacer.hpp"
 #include "admission/queue_messages.hpp"
 #include "admission/rate_limiter.hpp"
+#include "admission/refusal_rules.hpp"
 #include "admission/response_sizes.hpp"
 #include "admission/running_calls.hpp"
 #include "admission/service_times.hpp"
@@ -40,7 +41,7 @@
     // Limit on late calls in the queue, as a percentage of the slots. A new
     // call that would be late is refused if this many calls of any kind are
     // waiting.
-    core::percentage max_late_share{50};
+    core::percentage max_late_share = default_max_late_share;
     // After the worker has rejected a call because it is full, no calls are
     // sent to it for this long.
     core::milliseconds rejection_pause{15};
--- a/src/admission/slot_queue_waits.cpp
+++ b/src/admission/slot_queue_waits.cpp
@@ -1,11 +1,11 @@
 // Implements the estimates of waits that the slot queue reports and by which it
 // refuses calls.
+#include "admission/slot_queue.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <set>
 
-#include "admission/slot_queue.hpp"
-
 namespace yuccafall::admission {
 
 namespace {
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -196,12 +196,16 @@
                                   1024);
         }
     }
+    auto const distance_cost = out.time_to_response;
     auto const mean_run_time = mean_run_time_ms(traits.route);
     auto const found = states_.find(candidate.id);
     if (found == states_.end())
     {
         out.time_to_response += duration_from_ms(mean_run_time);
         out.free_slots = candidate.slots.value();
+        out.candidate.run_time = duration_from_ms(mean_run_time);
+        out.candidate.ends_after = out.candidate.run_time;
+        out.candidate.slots = candidate.slots;
         return out;
     }
     auto const& state = found->second;
@@ -268,6 +272,17 @@
             std::max(link_wait - run_ends_after, core::duration::zero()) +
             transfer_time;
     }
+    out.candidate.run_time = duration_from_ms(expected_run_time_ms);
+    out.candidate.ends_after = out.time_to_response - distance_cost;
+    out.candidate.wait = reported_wait > core::milliseconds(0)
+                             ? out.time_to_slot
+                             : core::duration::zero();
+    if (state.has_report)
+    {
+        out.candidate.report_age = now - state.reported_at;
+    }
+    out.candidate.waiting = load.waiting;
+    out.candidate.slots = candidate.slots;
     if (load.rejection_share > rejection_penalty_threshold)
     {
         out.time_to_response += rejection_penalty;
@@ -393,7 +408,14 @@
     {
         best = spread(candidates, estimates, best, random);
     }
-    return chosen{candidates[best], free_candidates > (best_is_free ? 1U : 0U)};
+    std::vector<candidate_estimate> compared;
+    compared.reserve(estimates.size());
+    for (auto const& it : estimates)
+    {
+        compared.push_back(it.candidate);
+    }
+    return chosen{candidates[best], free_candidates > (best_is_free ? 1U : 0U),
+                  std::move(compared)};
 }
 
 } // namespace yuccafall::balancing
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -21,6 +21,7 @@
 #include <variant>
 #include <vector>
 
+#include "balancing/candidate_estimate.hpp"
 #include "balancing/expected_load.hpp"
 #include "balancing/load_report.hpp"
 #include "core/endpoint.hpp"
@@ -106,6 +107,8 @@
     upstream const* target;
     // True if another candidate is believed to have a free slot.
     bool has_alternative = false;
+    // The estimates of all candidates, including the target.
+    std::vector<candidate_estimate> candidates;
 };
 struct none_available
 {};
@@ -209,6 +212,7 @@
         double free_slots = 0;
         // The worker rejects many of its calls.
         bool rejects = false;
+        candidate_estimate candidate;
     };
     response_estimate estimate_for(upstream const& candidate,
                                    call_traits const& traits,
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -241,14 +241,19 @@
                                         route_->rank};
     auto const found = ingress_->upstream_scores_.choose(
         *upstreams_, excluded_upstreams(), traits, now, ingress_->random_);
-    std::visit(
-        core::overloaded{[&](balancing::chosen const& it) { send_offer(it); },
-                         [&](balancing::none_available const&) {
-                             send_error({error_kind::no_upstream,
+    std::visit(core::overloaded{[&](balancing::chosen const& it) {
+                                    if (!is_refused_at_first_node(it, now))
+                                    {
+                                        send_offer(it);
+                                    }
+                                },
+                                [&](balancing::none_available const&) {
+                                    send_error(
+                                        {error_kind::no_upstream,
                                          "every listed worker has been tried"},
                                         retry_after_);
-                         }},
-        found);
+                                }},
+               found);
 }
 
 std::set<core::upstream_id> call::excluded_upstreams() const
@@ -262,6 +267,58 @@
     return out;
 }
 
+// A call that has reached a worker is not refused here, since its response may
+// not state that it did not run.
+bool call::is_refused_at_first_node(balancing::chosen const& choice,
+                                    core::instant now)
+{
+    if (workers_reached_ > 0)
+    {
+        return false;
+    }
+    auto const decision = admission::decide_first_node_admission(
+        {nested_, deadline_, target_time_}, choice.candidates, now,
+        ingress_->random_);
+    return std::visit(
+        core::overloaded{[&](admission::first_node_admitted const& it) {
+                             core::add(ingress_->counters_->first_node_probes,
+                                       it.as_probe ? 1 : 0);
+                             return false;
+                         },
+                         [&](admission::first_node_refused const& it) {
+                             refuse_at_first_node(it);
+                             return true;
+                         }},
+        decision);
+}
+
+void call::refuse_at_first_node(admission::first_node_refused const& why)
+{
+    if (std::exchange(finished_, true))
+    {
+        return;
+    }
+    core::add(ingress_->counters_
+                  ->refused[static_cast<std::size_t>(error_kind::overloaded)]);
+    ingress_->counters_->first_node_refusals.add(route_->rank);
+    if (core::admit_request_line(core::request_event::exceptional))
+    {
+        core::log_event(core::log_level::info, "refused_at_first_node",
+                        {{"request", request_id_.value()},
+                         {"route", route_->name.value()},
+                         {"rank", route_->rank.value()},
+                         {"reason", admission::name_of(why.reason)},
+                         {"wait_ms", why.wait.count()},
+                         {"report_age_ms", why.report_age.count()},
+                         {"redirects", redirects_},
+                         {"retry_after_ms", why.retry_after.count()}});
+    }
+    caller_connection_->send_response(ingress_->error_response(
+        {error_kind::overloaded, "every worker would refuse the request"},
+        why.retry_after));
+    finish();
+}
+
 void call::send_offer(balancing::chosen const& choice)
 {
     auto const now = core::boot_clock::now();
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -21,6 +21,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "admission/first_node_admission.hpp"
 #include "http/server.hpp"
 #include "ingress/ingress.hpp"
 #include "ingress/next_step.hpp"
@@ -54,6 +55,11 @@
     // offered to, and those in data centres that have been evacuated since the
     // call began.
     std::set<core::upstream_id> excluded_upstreams() const;
+    // Returns whether the call is refused without an offer, because the queue
+    // of every worker would refuse it.
+    bool is_refused_at_first_node(balancing::chosen const& choice,
+                                  core::instant now);
+    void refuse_at_first_node(admission::first_node_refused const& why);
     void send_offer(balancing::chosen const& choice);
     void on_message(peers::message it);
     void on(peers::body_request const& it);
--- a/src/ingress/counters.hpp
+++ b/src/ingress/counters.hpp
@@ -3,6 +3,7 @@
 #ifndef YUCCAFALL_INGRESS_COUNTERS_HPP
 #define YUCCAFALL_INGRESS_COUNTERS_HPP
 
+#include <algorithm>
 #include <array>
 
 #include "core/counter.hpp"
@@ -38,6 +39,18 @@
     }
 };
 
+// Calls by rank. The last counter is for all ranks without one of their own.
+struct counts_by_rank
+{
+    std::array<core::counter, 9> counts{};
+
+    void add(core::rank rank)
+    {
+        core::add(
+            counts[std::min<std::size_t>(rank.value(), counts.size() - 1)]);
+    }
+};
+
 struct counters
 {
     core::counter requests{0};
@@ -59,6 +72,11 @@
     // Error responses to callers, indexed by error kind.
     std::array<core::counter, core::error_kind_count> refused{};
     latency_histogram latency;
+    // Calls that were refused at this node because the queue of every worker
+    // would refuse them, and those that were offered nevertheless, so that the
+    // queues report their load.
+    counts_by_rank first_node_refusals;
+    core::counter first_node_probes{0};
     // Calls that were refused because the memory of responses was used up.
     core::counter responses_without_memory{0};
     http::connection_counters connections;
--- a/src/trace/request_trace.cpp
+++ b/src/trace/request_trace.cpp
@@ -97,6 +97,13 @@
             "the caller disconnected after {} ms, before it got a response",
             value_of(last, "took_ms"));
     }
+    if (last.event == "refused_at_first_node")
+    {
+        return fmt::format("overloaded: by load reports, the queue of every "
+                           "worker would have refused the call; it did not "
+                           "run; {}, shortest wait {} ms",
+                           value_of(last, "reason"), value_of(last, "wait_ms"));
+    }
     auto const kind = value_of(last, "kind");
     auto const found = std::find_if(
         error_explanations.begin(), error_explanations.end(),
@@ -113,7 +120,7 @@
 bool ends_call(log_line const& it)
 {
     return it.event == "call_answered" || it.event == "call_ended" ||
-           it.event == "caller_left";
+           it.event == "caller_left" || it.event == "refused_at_first_node";
 }
 
 // Returns the upstreams that the lines of the request name.
--- a/src/trace/tests/trace_test.cpp
+++ b/src/trace/tests/trace_test.cpp
@@ -119,3 +119,15 @@
                 std::string::npos);
     }
 }
+
+// Guards against a trace that does not say how a request ended that was not
+// sent to any worker.
+TEST_CASE("a refusal at the first node is the conclusion of a request")
+{
+    request_trace_builder builder(core::request_id("q"));
+    builder.add(parse_valid_line("time_ms=1 level=info "
+                                 "event=refused_at_first_node request=q "
+                                 "reason=late wait_ms=310"));
+    REQUIRE(builder.build().conclusion.find("did not run; late, shortest wait "
+                                            "310 ms") != std::string::npos);
+}
