--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -21,6 +21,7 @@
 #include <variant>
 #include <vector>
 
+#include "balancing/candidate_estimate.hpp"
 #include "balancing/expected_load.hpp"
 #include "balancing/load_report.hpp"
 #include "core/endpoint.hpp"
@@ -103,12 +104,14 @@
 struct chosen
 {
     // Invariant: points into the list that was passed to choose().
-    upstream const* target;
+    upstream const* target = nullptr;
     // True if another candidate is believed to have a free slot.
     bool has_alternative = false;
     // True if another upstream would have been chosen if its node were not
     // unresponsive.
     bool avoids_unresponsive_node = false;
+    // The estimates of all candidates, including the target.
+    std::vector<candidate_estimate> candidates;
 };
 struct none_available
 {};
@@ -221,6 +224,7 @@
         double free_slots = 0;
         // The worker rejects many of its calls.
         bool rejects = false;
+        candidate_estimate candidate;
     };
     response_estimate estimate_for(upstream const& candidate,
                                    call_traits const& traits,
