Soak: Make workers cold at random times

Workers of the extended soak become cold without a restart, and their entries show it up to 1.5 s later. A fake worker crashes if it gets more than 32 requests in a second while it is cold, at a cold rate of 16, which breaks the guarantee.

--- a/bench/soak/soak.cpp
+++ b/bench/soak/soak.cpp
@@ -34,6 +34,13 @@
 constexpr milliseconds limit_duration{6'000};
 constexpr milliseconds min_fault_duration{150};
 constexpr std::uint64_t fault_duration_range_ms = 1'200;
+// The rate that a cold worker takes, and the number of requests in any one
+// second above which it crashes.
+constexpr double cold_per_s = 16;
+constexpr std::size_t max_cold_arrivals = 16 * 3 / 2 + 8;
+constexpr milliseconds cold_time{3'000};
+// A worker writes its entry about this often.
+constexpr std::uint64_t entry_interval_ms = 1'500;
 // After the last fault has ended, each node has to respond with status 200 to
 // one of this many requests.
 constexpr int max_recovery_attempts = 60;
@@ -101,16 +108,21 @@
 {
     std::string data_centre;
 };
+// The worker becomes cold without an event. Its entry shows it later.
+struct worker_cold
+{
+    std::size_t vm;
+};
 using fault =
     std::variant<node_killed, node_stopped, node_paused, store_faulty,
                  history_dropped, configuration_changed, worker_faulty,
                  worker_crashed, worker_draining, node_reloaded, worker_limited,
-                 data_centre_evacuated>;
+                 data_centre_evacuated, worker_cold>;
 
 // Returns the routes of a configuration. An odd configuration number adds one
-// more route.
+// more route. The services have a cold rate if workers become cold.
 std::vector<stand_ins::route_options>
-make_routes(std::uint64_t configuration_number)
+make_routes(std::uint64_t configuration_number, bool has_cold_workers)
 {
     std::vector<stand_ins::route_options> out{
         {"/look/", "idempotent", "shop"}, {"/book/", "non_idempotent", "desk"}};
@@ -118,6 +130,10 @@
     {
         out.push_back({"/extra/", "idempotent", "desk"});
     }
+    for (auto& it : out)
+    {
+        it.cold_per_s = has_cold_workers ? cold_per_s : 0;
+    }
     return out;
 }
 
@@ -126,8 +142,13 @@
     std::vector<stand_ins::vm_options> out;
     for (std::size_t i = 0; i < n; ++i)
     {
-        out.push_back({i % 2 == 0 ? "a" : "b", i % 3 == 0 ? "shop" : "desk", 4,
-                       milliseconds(20)});
+        stand_ins::vm_options it;
+        it.data_centre = i % 2 == 0 ? "a" : "b";
+        it.service = i % 3 == 0 ? "shop" : "desk";
+        it.slots = 4;
+        it.service_time = milliseconds(20);
+        it.max_cold_arrivals = max_cold_arrivals;
+        out.push_back(std::move(it));
     }
     return out;
 }
@@ -147,7 +168,8 @@
 public:
     explicit soak(soak_options const& options)
         : options_(options), random_(options.seed),
-          deployment_(make_vms(options.nodes), make_routes(0)),
+          deployment_(make_vms(options.nodes),
+                      make_routes(0, options.extended)),
           is_reserved_(options.nodes), is_limited_(options.nodes),
           node_failures_(options.nodes)
     {}
@@ -248,7 +270,7 @@
     fault draw_fault()
     {
         auto const vm = random_.below(deployment_.size());
-        switch (random_.below(options_.extended ? 12 : 9))
+        switch (random_.below(options_.extended ? 13 : 9))
         {
         case 0:
             return node_killed{vm};
@@ -277,6 +299,8 @@
             return worker_limited{vm};
         case 11:
             return data_centre_evacuated{random_.below(2) == 0 ? "a" : "b"};
+        case 12:
+            return worker_cold{vm};
         default:
             return worker_draining{vm};
         }
@@ -374,7 +398,8 @@
 
     void inject(configuration_changed const&, core::instant)
     {
-        deployment_.publish(make_routes(++configuration_number_));
+        deployment_.publish(
+            make_routes(++configuration_number_, options_.extended));
     }
 
     void inject(worker_faulty const& it, core::instant until)
@@ -444,6 +469,19 @@
         });
     }
 
+    void inject(worker_cold const& it, core::instant)
+    {
+        auto const now = core::boot_clock::now();
+        auto const written_after =
+            milliseconds(static_cast<long>(random_.below(entry_interval_ms)));
+        deployment_.worker(it.vm).become_cold(cold_time);
+        schedule_end(now + written_after, [this, vm = it.vm, written_after] {
+            deployment_.publish_worker(vm, "ready", cold_time - written_after);
+        });
+        schedule_end(now + cold_time,
+                     [this, vm = it.vm] { deployment_.publish_worker(vm); });
+    }
+
     // Checks that each worker gets requests again after evacuations. The
     // callers still send requests meanwhile.
     void check_workers_get_requests()
@@ -558,6 +596,15 @@
             {
                 check_limit(i, it);
             }
+            result_.cold_arrivals += counts.cold_arrivals;
+            if (counts.cold_crashes > 0)
+            {
+                record_violation(fmt::format(
+                    "worker {} crashed {} times because it got more than {} "
+                    "requests in a second while it was cold",
+                    i, counts.cold_crashes, max_cold_arrivals));
+                result_.logs.push_back(deployment_.log(i));
+            }
         }
         result_.calls = calls_.size();
         for (auto const& it : calls_)
@@ -642,9 +689,10 @@
 int report_soak(soak_options const& options)
 {
     auto const it = run_soak(options);
-    fmt::print("seed={} calls={} answered={} refused={} faults={} broken={}\n",
+    fmt::print("seed={} calls={} answered={} refused={} faults={} "
+               "cold_arrivals={} broken={}\n",
                options.seed, it.calls, it.answered, it.refused, it.faults,
-               it.broken.size());
+               it.cold_arrivals, it.broken.size());
     for (auto const& line : it.broken)
     {
         fmt::print("broken: {}\n", line);
--- a/bench/soak/soak.hpp
+++ b/bench/soak/soak.hpp
@@ -20,8 +20,8 @@
     // Faults are injected for this long.
     core::milliseconds length{8'000};
     // Adds callers that keep their connections open, nodes that read their
-    // settings again, and workers that state a limit. The sequence of faults of
-    // a seed depends on it.
+    // settings again, workers that state a limit or become cold, and
+    // evacuations. The sequence of faults of a seed depends on it.
     bool extended = false;
 };
 
@@ -33,6 +33,8 @@
     std::size_t answered = 0;
     std::size_t refused = 0;
     std::size_t faults = 0;
+    // Number of requests that workers got while they were cold.
+    std::size_t cold_arrivals = 0;
     // One line for each violation of a guarantee.
     std::vector<std::string> broken;
     // The logs of the nodes that did not serve after the faults had ended.
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -100,6 +100,7 @@
         options.slots = it.options.slots;
         options.service_time = it.options.service_time;
         options.cold_time = it.options.cold_time;
+        options.max_cold_arrivals = it.options.max_cold_arrivals;
         it.worker = std::make_unique<fake_worker>(
             core::endpoint{it.address, ports_[worker_port].port()}, options);
         vms_.push_back(std::move(it));
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -26,6 +26,8 @@
     core::milliseconds service_time{10};
     // How long the worker is cold after it starts.
     core::milliseconds cold_time{0};
+    // See worker_options.
+    std::size_t max_cold_arrivals = 0;
 };
 
 struct route_options
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -3,7 +3,6 @@
 
 #include <stdexcept>
 
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 namespace yuccafall::stand_ins {
@@ -19,6 +18,9 @@
     return value == nullptr ? std::string() : *value;
 }
 
+// How long a worker is away after it has crashed because of too many requests.
+constexpr core::milliseconds cold_crash_duration{2'000};
+
 // Returns the size of the body that the target asks for, or 0 if it asks for
 // none.
 std::size_t stated_body_size(std::string const& target)
@@ -42,10 +44,8 @@
 fake_worker::~fake_worker()
 {
     thread_.invoke([&] {
-        if (server_)
-        {
-            server_->stop();
-        }
+        return_timer_.reset();
+        stop_serving();
     });
     thread_.stop();
 }
@@ -106,16 +106,38 @@
 
 void fake_worker::crash()
 {
-    thread_.invoke([&] {
-        server_->stop();
-        server_.reset();
-        running_ = 0;
+    thread_.invoke([&] { stop_serving(); });
+}
+
+void fake_worker::stop_serving()
+{
+    if (auto const server = std::exchange(server_, nullptr))
+    {
+        server->stop();
+    }
+    running_ = 0;
+}
+
+void fake_worker::crash_while_cold()
+{
+    ++counts_.cold_crashes;
+    stop_serving();
+    return_timer_.emplace(thread_.context(), cold_crash_duration);
+    return_timer_->async_wait([this](boost::system::error_code const& ec) {
+        if (!ec)
+        {
+            return_timer_.reset();
+            listen();
+        }
     });
 }
 
 void fake_worker::restart()
 {
-    thread_.invoke([&] { listen(); });
+    thread_.invoke([&] {
+        return_timer_.reset();
+        listen();
+    });
 }
 
 void fake_worker::set_cold_time(core::milliseconds cold_time)
@@ -126,8 +148,11 @@
 void fake_worker::become_cold(core::milliseconds cold_time)
 {
     thread_.invoke([&] {
+        if (!is_cold())
+        {
+            last_cold_arrivals_.clear();
+        }
         cold_until_ = core::boot_clock::now() + cold_time;
-        last_cold_arrivals_.clear();
     });
 }
 
@@ -203,6 +228,12 @@
     if (is_cold())
     {
         record_cold_arrival();
+        if (options_.max_cold_arrivals > 0 &&
+            last_cold_arrivals_.size() > options_.max_cold_arrivals)
+        {
+            crash_while_cold();
+            return;
+        }
     }
     if (!rate_limit_.empty())
     {
@@ -219,9 +250,7 @@
     if (fault_ == worker_fault::crashes &&
         it.target.find("crash") != std::string::npos)
     {
-        auto const server = std::exchange(server_, nullptr);
-        server->stop();
-        running_ = 0;
+        stop_serving();
         return;
     }
     ++running_;
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -8,10 +8,13 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "http/server.hpp"
 #include "stand_ins/io_context_thread.hpp"
 
@@ -27,6 +30,9 @@
     core::milliseconds service_time{10};
     // How long the worker is cold after it starts.
     core::milliseconds cold_time{0};
+    // The worker crashes if it gets more requests than this in any one second
+    // while it is cold, and returns after 2 s. 0 means that it does not crash.
+    std::size_t max_cold_arrivals = 0;
 };
 
 enum class worker_fault
@@ -69,6 +75,8 @@
     // of them in any one second. Those meant for another worker do not count.
     std::uint64_t cold_arrivals = 0;
     std::size_t most_cold_arrivals_in_a_second = 0;
+    // Crashes because of too many of them.
+    std::uint64_t cold_crashes = 0;
 };
 
 // The target of a request may end in "size=N", which asks for a response whose
@@ -102,6 +110,9 @@
     using connection = std::shared_ptr<http::server_connection>;
 
     void listen();
+    // Closes the port and all connections.
+    void stop_serving();
+    void crash_while_cold();
     void handle(connection const& caller, http::request const& it);
     bool is_cold() const { return core::boot_clock::now() < cold_until_; }
     void record_cold_arrival();
@@ -129,6 +140,8 @@
     core::instant cold_until_{};
     // When requests arrived in the last second, while the worker was cold.
     std::deque<core::instant> last_cold_arrivals_;
+    // Set while the worker is away after a crash while it was cold.
+    std::optional<boost::asio::steady_timer> return_timer_;
 };
 
 } // namespace yuccafall::stand_ins
