Stand-ins: Count a limit from the response that states it

The check of stated limits counted from the moment at which the fake worker got its limit. A worker that gets no requests, or sends no response, has not stated it.

The platform's bound begins three seconds after the first statement, so the check counts from the first response with the limit.

--- a/bench/soak/soak.cpp
+++ b/bench/soak/soak.cpp
@@ -514,8 +514,12 @@
     // and five requests, from three seconds after the first statement of it.
     void check_limit(std::size_t vm, stand_ins::limit_episode const& it)
     {
+        if (!it.stated_at)
+        {
+            return;
+        }
         auto const allowed = static_cast<std::size_t>(6 * it.per_second + 5);
-        auto const bound_from = it.stated_at + milliseconds(3'000);
+        auto const bound_from = *it.stated_at + milliseconds(3'000);
         std::size_t first = 0;
         for (std::size_t last = 0; last < it.arrivals.size(); ++last)
         {
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -79,8 +79,7 @@
         rate_limit_ = std::move(per_second);
         if (!rate_limit_.empty())
         {
-            counts_.limits.push_back(
-                {std::stod(rate_limit_), core::boot_clock::now(), {}});
+            counts_.limits.push_back({std::stod(rate_limit_), {}, {}});
         }
     });
 }
@@ -91,7 +90,7 @@
 }
 
 // Adds what the worker states about itself in each response.
-void fake_worker::add_statements(http::response& to) const
+void fake_worker::add_statements(http::response& to)
 {
     to.headers.push_back({"Server-Load", load_header()});
     if (leaving_)
@@ -101,6 +100,8 @@
     if (!rate_limit_.empty())
     {
         to.headers.push_back({"Server-Limit", rate_limit_});
+        auto& stated_at = counts_.limits.back().stated_at;
+        stated_at = stated_at.value_or(core::boot_clock::now());
     }
 }
 
@@ -166,8 +167,7 @@
     return fmt::format("{},0,{},100", running_, options_.slots);
 }
 
-http::response fake_worker::make_rejection(int status,
-                                           std::string const& id) const
+http::response fake_worker::make_rejection(int status, std::string const& id)
 {
     http::response it;
     it.status = status;
@@ -180,7 +180,7 @@
     return it;
 }
 
-http::response fake_worker::make_health_response() const
+http::response fake_worker::make_health_response()
 {
     http::response it;
     it.status = 200;
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -50,11 +50,13 @@
     crashes,
 };
 
-// A time in which the worker stated one limit.
+// A time in which the worker has one limit.
 struct limit_episode
 {
     double per_second = 0;
-    core::instant stated_at;
+    // When the first response stated it. Empty if none has: the worker may get
+    // no requests, or drop its responses.
+    std::optional<core::instant> stated_at;
     // When each request arrived that was not meant for another worker.
     std::vector<core::instant> arrivals;
 };
@@ -116,12 +118,12 @@
     void handle(connection const& caller, http::request const& it);
     bool is_cold() const { return core::boot_clock::now() < cold_until_; }
     void record_cold_arrival();
-    http::response make_health_response() const;
+    http::response make_health_response();
     void finish_request(connection const& caller, std::string const& id,
                         std::size_t body_size);
     // The id is that of the request that is rejected, or empty.
-    http::response make_rejection(int status, std::string const& id = {}) const;
-    void add_statements(http::response& to) const;
+    http::response make_rejection(int status, std::string const& id = {});
+    void add_statements(http::response& to);
     // Returns the numbers of running requests, waiting requests and slots, and
     // the service time in percent of the usual one.
     std::string load_header() const;
