Model: Add patterns with cold workers and an evacuation

cold-workers cuts the power of all workers, which return cold, and evacuation evacuates one of four data centres, whose workers are cold afterwards. The model runs the product's warm-up monitor and slowdown detector, and its rules for attempts that fail.

The parts for the network, the outages and the nodes have files of their own.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -23,7 +23,8 @@
     "model: number of workers, with the demand in proportion; 0 keeps "
     "those of the pattern");
 DEFINE_bool(extended, false,
-            "soak: kept connections, SIGHUP and workers with a limit");
+            "soak: kept connections, SIGHUP, evacuations, and workers with a "
+            "limit or that become cold");
 DEFINE_uint64(length_ms, 8'000, "soak: time in which faults are injected");
 DEFINE_bool(by_second, false, "model: print the results of each second");
 
--- a/bench/model/deployment.hpp
+++ b/bench/model/deployment.hpp
@@ -7,12 +7,14 @@
 #ifndef YUCCAFALL_BENCH_MODEL_DEPLOYMENT_HPP
 #define YUCCAFALL_BENCH_MODEL_DEPLOYMENT_HPP
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "core/warm_up_limits.hpp"
 #include "routing/configuration.hpp"
 
 namespace yuccafall::bench::model {
@@ -82,6 +84,37 @@
     double slowdown_factor = 1;
 };
 
+// How workers behave while they are cold.
+struct cold_behaviour
+{
+    // The requests that a cold worker takes, and how long it is cold.
+    core::warm_up_limits limits;
+    // Service times of a cold worker, relative to the usual ones.
+    double service_time_factor = 2;
+    // A cold worker crashes if it gets more requests than this in any one
+    // second. It returns cold after crash_duration.
+    std::size_t max_arrivals = 0;
+    core::milliseconds crash_duration{2'000};
+};
+
+// All workers are away for this part of the simulated time, in seconds since
+// its start, and return cold.
+struct power_cut
+{
+    double start_s = 0;
+    double end_s = 0;
+};
+
+// A data centre is evacuated for this part of the simulated time. Its workers
+// are cold at the end.
+struct evacuation
+{
+    // Index into deployment::data_centres.
+    std::size_t data_centre_index = 0;
+    double start_s = 0;
+    double end_s = 0;
+};
+
 struct deployment
 {
     std::vector<core::data_centre> data_centres;
@@ -111,6 +144,11 @@
     // upstream::load_publisher, and not only with responses and refusals.
     bool publishes_load = false;
     std::vector<disturbance> disturbances;
+    // Present if the services have a cold rate.
+    std::optional<cold_behaviour> cold;
+    // Each of the two needs `cold`.
+    std::vector<power_cut> power_cuts;
+    std::vector<evacuation> evacuations;
     // Callers send new requests for this long.
     double duration_s = 20;
 };
@@ -124,6 +162,12 @@
 
 std::vector<pattern> const& all_patterns();
 
+// 59 VMs, with requests that make nested calls and with load reports.
+deployment make_uneven_workers();
+// The patterns with cold workers.
+deployment make_cold_workers();
+deployment make_evacuation();
+
 // Changes the number of workers to about the given one. Services keep their
 // shares of the workers, each gets at least one, and the request rate changes
 // in proportion.
--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -35,13 +35,19 @@
     return out;
 }
 
+template <class Value>
+estimate mean_over(std::vector<simulation_result> const& results, Value value)
+{
+    std::vector<double> samples;
+    std::transform(results.begin(), results.end(), std::back_inserter(samples),
+                   value);
+    return estimate_mean(samples);
+}
+
 even_load_measures measure(std::vector<simulation_result> const& results)
 {
     auto const mean_of = [&](auto const& value) {
-        std::vector<double> samples;
-        std::transform(results.begin(), results.end(),
-                       std::back_inserter(samples), value);
-        return estimate_mean(samples);
+        return mean_over(results, value);
     };
     auto const per_offer = [&](std::uint64_t simulation_result::*count) {
         return mean_of([count](simulation_result const& it) {
@@ -71,11 +77,39 @@
     return out;
 }
 
+warm_up_measures measure_warm_up(std::vector<simulation_result> const& results)
+{
+    warm_up_measures out;
+    out.cold_crashes = mean_over(results, [](simulation_result const& it) {
+        return static_cast<double>(it.cold_crashes);
+    });
+    out.health_requests = mean_over(results, [](simulation_result const& it) {
+        return static_cast<double>(it.health_requests);
+    });
+    out.recovery_s = mean_over(results, [](simulation_result const& it) {
+        return it.recovery_s.value_or(0);
+    });
+    return out;
+}
+
+std::string text(estimate const& it)
+{
+    return fmt::format("{:.3f}±{:.3f}", it.mean, it.half_interval);
+}
+
+// Prints the measures if the pattern has cold workers.
+void print_warm_up(deployment const& spec, warm_up_measures const& it)
+{
+    if (spec.cold)
+    {
+        fmt::print("cold_crashes={} health_requests={} recovery_s={}\n",
+                   text(it.cold_crashes), text(it.health_requests),
+                   text(it.recovery_s));
+    }
+}
+
 void print_measures(even_load_measures const& it)
 {
-    auto const text = [](estimate const& e) {
-        return fmt::format("{:.3f}±{:.3f}", e.mean, e.half_interval);
-    };
     fmt::print("waits_beside_free={} refusals_beside_free={} "
                "messages_per_request={}\n",
                text(it.waits_beside_free_worker),
@@ -141,12 +175,29 @@
     {
         it.spreads_load = false;
     }
+    else if (rule == "cold-rate")
+    {
+        it.keeps_cold_rate = false;
+    }
+    else if (rule == "cold-reports")
+    {
+        it.reports_cold_rate = false;
+    }
+    else if (rule == "evacuation-doubt")
+    {
+        it.doubts_after_evacuation = false;
+    }
+    else if (rule == "slowdown")
+    {
+        it.asks_slow_workers = false;
+    }
     else if (!rule.empty())
     {
         return core::failure(
             core::error_kind::invalid_settings,
             "unknown rule; the rules are paced-bodies, paced-responses, "
-            "free-slots, nested-first, even-load");
+            "free-slots, nested-first, even-load, cold-rate, cold-reports, "
+            "evacuation-doubt, slowdown");
     }
     return it;
 }
@@ -174,6 +225,8 @@
     out.half_interval = gain.half_interval;
     out.measures = measure(results);
     out.measures_without = measure(results_without);
+    out.warm_up = measure_warm_up(results);
+    out.warm_up_without = measure_warm_up(results_without);
     return out;
 }
 
@@ -206,13 +259,16 @@
                    found->name, options.without, options.seeds, it.worth,
                    it.worth_without, it.gain, it.half_interval);
         print_measures(it.measures);
+        print_warm_up(spec, it.warm_up);
         fmt::print("without={}:\n", options.without);
         print_measures(it.measures_without);
+        print_warm_up(spec, it.warm_up_without);
         return 0;
     }
     auto const it = run_simulation(spec, *rules, options.seed);
     print_totals(it);
     print_measures(measure({it}));
+    print_warm_up(spec, measure_warm_up({it}));
     if (options.by_second)
     {
         print_seconds(it);
--- a/bench/model/experiment.hpp
+++ b/bench/model/experiment.hpp
@@ -34,6 +34,14 @@
     estimate messages_per_request;
 };
 
+// What a simulation with cold workers shows, see simulation_result.
+struct warm_up_measures
+{
+    estimate cold_crashes;
+    estimate health_requests;
+    estimate recovery_s;
+};
+
 struct comparison
 {
     // Means over the seeds of the worth that callers got, relative to the
@@ -47,6 +55,8 @@
     // Means over the seeds of the measures of both.
     even_load_measures measures;
     even_load_measures measures_without;
+    warm_up_measures warm_up;
+    warm_up_measures warm_up_without;
 };
 
 comparison compare(deployment const& spec, policy const& reduced,
--- a/bench/model/patterns.cpp
+++ b/bench/model/patterns.cpp
@@ -294,6 +294,8 @@
     return out;
 }
 
+} // namespace
+
 // 59 VMs with a link of 21 Mbit/s each, that is, 2'625'000 bytes a second.
 deployment make_uneven_workers()
 {
@@ -316,8 +318,6 @@
     return it;
 }
 
-} // namespace
-
 deployment resize(deployment spec, std::size_t workers)
 {
     auto const count = [](service const& it) {
@@ -364,6 +364,13 @@
          "59 workers whose speeds differ by a factor of two, requests in "
          "clumps",
          make_uneven_workers},
+        {"cold-workers",
+         "59 workers that return cold after a power cut of 2 seconds",
+         make_cold_workers},
+        {"evacuation",
+         "one of four data centres is evacuated for 5 seconds, and its workers "
+         "are cold then",
+         make_evacuation},
     };
     return all;
 }
--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -5,19 +5,16 @@
 #include <cmath>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <set>
 #include <utility>
 
-#include "admission/slot_queue.hpp"
-#include "balancing/upstream_scores.hpp"
+#include "bench/model/distributions.hpp"
 #include "bench/model/event_queue.hpp"
+#include "bench/model/network.hpp"
+#include "bench/model/outages.hpp"
+#include "bench/model/simulated_node.hpp"
 #include "core/overloaded.hpp"
 #include "core/random.hpp"
-#include "ingress/caller_timeouts.hpp"
 #include "ingress/next_step.hpp"
-#include "retries/retry_budget.hpp"
-#include "transport/link_pacer.hpp"
 
 namespace yuccafall::bench::model {
 
@@ -25,9 +22,6 @@
 
 using core::milliseconds;
 
-// One-way delay between two VMs of a data centre. It includes the time that
-// both ends take to handle the message.
-constexpr core::duration local_delay = std::chrono::microseconds(400);
 // Size on the link of a request head or of a response without content.
 constexpr double short_message_bytes = 400;
 // A larger body is sent only after the worker's node has accepted the call and
@@ -44,165 +38,32 @@
 // A caller waits for at least this long before it retries a request.
 constexpr core::duration min_retry_delay = milliseconds(5);
 
-core::duration from_ms(double it)
+// Returns what the end of an attempt shows of the worker. Null stands for a
+// failed run.
+balancing::outcome outcome_of(ingress::attempt_refused const* refusal)
 {
-    return core::duration(static_cast<core::duration::rep>(it * 1e6));
-}
-
-double to_ms(core::duration it)
-{
-    return static_cast<double>(it.count()) / 1e6;
-}
-
-double exponential(core::random_source& random, double mean)
-{
-    return -mean * std::log(1 - random.unit());
-}
-
-// Draws from a lognormal distribution with the given mean. Sigma is the
-// standard deviation of the logarithm.
-double lognormal(core::random_source& random, double mean, double sigma)
-{
-    constexpr double pi = 3.14159265358979323846;
-    auto const normal = std::sqrt(-2 * std::log(1 - random.unit())) *
-                        std::cos(2 * pi * random.unit());
-    return mean * std::exp(sigma * normal - sigma * sigma / 2);
-}
-
-// One direction of a VM's network link. It sends messages one after the other,
-// in the order in which they are queued.
-class link_direction
-{
-public:
-    explicit link_direction(core::bytes_per_second rate) : rate_(rate) {}
-
-    // Queues a message and returns the time until its last byte has been sent.
-    core::duration transmit(core::instant now, double bytes)
+    if (refusal == nullptr)
     {
-        last_byte_sent_at_ =
-            std::max(last_byte_sent_at_, now) +
-            from_ms(1000 * bytes / static_cast<double>(rate_.value()));
-        return last_byte_sent_at_ - now;
+        return balancing::outcome::failed;
     }
-
-private:
-    core::bytes_per_second rate_;
-    core::instant last_byte_sent_at_{};
-};
-
-enum class call_status
-{
-    answered,
-    refused,
-    failed,
-};
-
-struct call_outcome
-{
-    call_status status = call_status::failed;
-    milliseconds retry_after{0};
-};
-
-struct node;
-
-// A long response that the link sends in parts.
-struct paced_response
-{
-    double remaining_bytes = 0;
-    node* receiver = nullptr;
-    std::function<void()> on_arrival;
-};
-
-// State of a call at the caller's node, which received it from a client or from
-// its own worker.
-struct call_state
-{
-    std::size_t kind_index = 0;
-    node* caller_node = nullptr;
-    double body_bytes = 0;
-    core::instant deadline;
-    // Time at which the call exceeds the target latency of its route.
-    core::instant target_time;
-    bool nested = false;
-    // Upstreams to which the call must not be offered again.
-    std::set<core::upstream_id> tried_upstreams;
-    std::uint32_t workers_reached = 0;
-    std::uint32_t redirects = 0;
-    std::uint32_t offers_for_free_slot = 0;
-    milliseconds retry_after{0};
-    std::function<void(call_outcome)> on_end;
-};
-
-// State of a call at the node beside the worker to which it was offered.
-struct offered_call
-{
-    std::shared_ptr<model::call_state> call;
-    bool has_alternative = false;
-    core::instant offered_at;
-    core::instant started_at;
-};
-
-// A node and the worker beside it.
-struct node
-{
-    node(std::size_t own_data_centre, core::upstream_id own_id,
-         balancing::choice_settings choice_settings,
-         admission::queue_settings const& queue_settings,
-         retries::budget_settings const& budget_settings,
-         core::bytes_per_second link_bandwidth)
-        : data_centre_index(own_data_centre), id(std::move(own_id)),
-          scores(std::move(choice_settings)), queue(queue_settings),
-          retry_budget(budget_settings), inbound(link_bandwidth),
-          outbound(link_bandwidth),
-          response_pacer(make_pacer_settings(link_bandwidth))
-    {}
-
-    static transport::link_pacer_settings
-    make_pacer_settings(core::bytes_per_second link_bandwidth)
-    {
-        transport::link_pacer_settings it;
-        it.bandwidth = link_bandwidth;
-        return it;
-    }
-
-    // Index into deployment::data_centres.
-    std::size_t data_centre_index;
-    core::upstream_id id;
-    balancing::upstream_scores scores;
-    ingress::caller_timeouts caller_timeouts;
-    admission::slot_queue queue;
-    retries::retry_budget retry_budget;
-    link_direction inbound;
-    link_direction outbound;
-    transport::link_pacer response_pacer;
-    std::map<transport::link_ticket, paced_response> paced_responses;
-    // True while an event is scheduled for the next part of a response.
-    bool part_scheduled = false;
-    std::map<core::call_id, offered_call> offered_calls;
-    // The nodes that receive load reports, and the time of their last offer.
-    std::map<core::upstream_id, core::instant> subscribers;
-    std::uint32_t last_published_open_calls = 0;
-    core::instant last_published_at{};
-    // True while an event is scheduled for the next load report.
-    bool report_scheduled = false;
-    std::optional<load_history> history;
-    // Time of the earliest timer event that is scheduled for the queue.
-    std::optional<core::instant> next_timer;
-    // Service time of the worker without disturbances and noise, relative to
-    // that of the request kind.
-    double service_time_factor = 1;
-    // The worker is slow during disturbances that slow workers down.
-    bool is_slowed = false;
-    // Neighbouring VMs slow the worker down during the current spell.
-    bool is_noisy = false;
-    core::instant noise_spell_ends_at{};
-};
+    return refusal->kind == core::error_kind::no_upstream
+               ? balancing::outcome::unreachable
+               : balancing::outcome::refused;
+}
 
 class simulation
 {
 public:
     simulation(deployment const& spec, policy const& rules, std::uint64_t seed)
-        : spec_(spec), rules_(rules), random_(seed)
+        : spec_(spec), rules_(rules), random_(seed),
+          outages_(events_, spec_, rules_, nodes_, upstreams_,
+                   {[this](node& at, admission::event const& it) {
+                        handle_event(at, it);
+                    },
+                    [this](node& at, std::shared_ptr<call_state> const& call,
+                           ingress::attempt_result const& it) {
+                        send_attempt_result(at, call, it);
+                    }})
     {
         make_nodes();
         result_.by_second.resize(
@@ -220,13 +81,17 @@
         {
             schedule_arrival(i);
         }
+        outages_.start();
         events_.run();
         result_.mean_wait_ms =
             wait_count_ == 0
                 ? 0
                 : total_wait_ms_ / static_cast<double>(wait_count_);
-        result_.megabytes_between_data_centres = cross_data_centre_bytes_ / 1e6;
+        result_.messages = network_.messages();
+        result_.megabytes_between_data_centres =
+            network_.cross_data_centre_bytes() / 1e6;
         compare_workers();
+        outages_.measure(result_);
         return std::move(result_);
     }
 
@@ -489,7 +354,8 @@
             route.name,
             core::byte_count(static_cast<std::uint64_t>(call->body_bytes)),
             call->body_bytes > max_inline_body_bytes, call->nested,
-            is_paced(spec_.request_kinds[call->kind_index].response_bytes)};
+            network_.is_paced(
+                spec_.request_kinds[call->kind_index].response_bytes)};
         auto const choice = caller_node.scores.choose(
             upstreams_.at(route.targets.front().service), call->tried_upstreams,
             traits, events_.now(), random_);
@@ -525,45 +391,67 @@
         }
     }
 
-    void handle_refusal(std::shared_ptr<call_state> const& call,
-                        node& worker_node,
-                        ingress::attempt_refused const& refusal,
-                        balancing::load_report const& load)
+    // Handles the end of an attempt that brought no response.
+    void handle_attempt_end(std::shared_ptr<call_state> const& call,
+                            node& worker_node,
+                            ingress::attempt_result const& result,
+                            balancing::load_report const& load)
     {
         auto const now = events_.now();
+        auto const& route = spec_.request_kinds[call->kind_index].route;
+        auto const* refusal = std::get_if<ingress::attempt_refused>(&result);
+        auto const status =
+            refusal == nullptr ? call_status::failed : call_status::refused;
         call->caller_node->scores.record_report(worker_node.id, load, now);
-        call->caller_node->scores.record_ended(
-            worker_node.id, balancing::outcome::refused, now);
+        call->caller_node->scores.record_ended(worker_node.id,
+                                               outcome_of(refusal), now);
+        call->workers_reached += refusal == nullptr ? 1 : 0;
         ingress::call_progress progress;
-        progress.repeatability =
-            spec_.request_kinds[call->kind_index].route.kind;
-        progress.max_attempts =
-            spec_.request_kinds[call->kind_index].route.attempts;
+        progress.repeatability = route.kind;
+        progress.max_attempts = route.attempts;
         progress.workers_reached = call->workers_reached;
         progress.redirects = call->redirects;
         progress.remaining =
             std::chrono::duration_cast<milliseconds>(call->deadline - now);
-        progress.expected_duration =
-            spec_.request_kinds[call->kind_index].route.target_latency / 2;
+        progress.expected_duration = route.target_latency / 2;
         progress.retry_after = call->retry_after;
-        std::visit(
-            core::overloaded{
-                [&](ingress::try_another const& step) {
-                    if (step.may_reselect_upstream)
-                    {
-                        call->tried_upstreams.erase(worker_node.id);
-                    }
-                    else
-                    {
-                        ++call->redirects;
-                        call->retry_after = refusal.retry_after;
-                    }
-                    offer_call(call);
-                },
-                [&](ingress::give_up const& step) {
-                    end_call(*call, {call_status::refused, step.retry_after});
-                }},
-            ingress::decide_next_step(progress, refusal));
+        std::visit(core::overloaded{
+                       [&](ingress::try_another const& step) {
+                           if (step.uses_retry_budget &&
+                               !call->caller_node->retry_budget.try_take(
+                                   route.targets.front().service, now))
+                           {
+                               end_call(*call, {status, call->retry_after});
+                               return;
+                           }
+                           if (step.may_reselect_upstream)
+                           {
+                               call->tried_upstreams.erase(worker_node.id);
+                           }
+                           else if (step.avoid_data_centre)
+                           {
+                               avoid_data_centre(*call, worker_node);
+                           }
+                           else if (refusal != nullptr)
+                           {
+                               ++call->redirects;
+                               call->retry_after = refusal->retry_after;
+                           }
+                           offer_call(call);
+                       },
+                       [&](ingress::give_up const& step) {
+                           end_call(*call, {status, step.retry_after});
+                       }},
+                   ingress::decide_next_step(progress, result));
+    }
+
+    void avoid_data_centre(call_state& call, node const& worker_node)
+    {
+        for (auto const* it :
+             nodes_by_data_centre_[worker_node.data_centre_index])
+        {
+            call.tried_upstreams.insert(it->id);
+        }
     }
 
     // The functions below simulate a worker and the node beside it.
@@ -573,6 +461,18 @@
                       bool has_alternative)
     {
         auto const now = events_.now();
+        if (now < worker_node.unreachable_until)
+        {
+            send_attempt_result(
+                worker_node, call,
+                ingress::attempt_refused{core::error_kind::no_upstream,
+                                         unreachable_backoff});
+            return;
+        }
+        if (worker_node.warm_up)
+        {
+            worker_node.warm_up->record_offer();
+        }
         core::call_id const id{core::incarnation(1), ++last_call_number_};
         auto const& route = spec_.request_kinds[call->kind_index].route;
         admission::job job;
@@ -635,10 +535,19 @@
         worker_node.history->record_open_calls(open_calls, now);
         auto const nearly_full =
             worker_node.queue.slots().value() - nearly_full_margin;
-        if (!spec_.publishes_load || worker_node.report_scheduled ||
-            open_calls == worker_node.last_published_open_calls ||
-            std::max(open_calls, worker_node.last_published_open_calls) <
-                nearly_full)
+        auto const load = make_load_report(worker_node);
+        auto const rate = core::limit_of(load.cold_rate);
+        auto const last_rate =
+            core::limit_of(worker_node.last_published_cold_rate);
+        bool const differs =
+            open_calls != worker_node.last_published_open_calls ||
+            rate != last_rate;
+        bool const is_nearly_full =
+            std::max(open_calls, worker_node.last_published_open_calls) >=
+                nearly_full ||
+            rate || last_rate;
+        if (!spec_.publishes_load || worker_node.report_scheduled || !differs ||
+            !is_nearly_full)
         {
             return;
         }
@@ -653,8 +562,8 @@
             return;
         }
         worker_node.last_published_open_calls = open_calls;
+        worker_node.last_published_cold_rate = load.cold_rate;
         worker_node.last_published_at = now;
-        auto const load = make_load_report(worker_node);
         for (auto const& [id, last_offer] : worker_node.subscribers)
         {
             auto* to = nodes_by_id_.at(id);
@@ -679,6 +588,11 @@
             std::visit([&](auto const& it) { execute(worker_node, it); },
                        action);
         }
+        if (worker_node.warm_up)
+        {
+            worker_node.warm_up->set_calls_wait(worker_node.queue.waiting() >
+                                                0);
+        }
         publish_load(worker_node);
         auto const next_due = worker_node.queue.next_timer();
         if (next_due &&
@@ -716,10 +630,18 @@
         worker_node.offered_calls.erase(found);
         ingress::attempt_refused const refusal{action.kind, action.retry_after,
                                                false, offered.has_alternative};
-        send(worker_node, *offered.call->caller_node, short_message_bytes,
-             [this, &worker_node, call = offered.call, refusal,
+        send_attempt_result(worker_node, offered.call, refusal);
+    }
+
+    // Tells the node that offered the call that it got no response.
+    void send_attempt_result(node& worker_node,
+                             std::shared_ptr<call_state> const& call,
+                             ingress::attempt_result const& result)
+    {
+        send(worker_node, *call->caller_node, short_message_bytes,
+             [this, &worker_node, call, result,
               load = make_load_report(worker_node)] {
-                 handle_refusal(call, worker_node, refusal, load);
+                 handle_attempt_end(call, worker_node, result, load);
              });
     }
 
@@ -729,11 +651,18 @@
         offered.started_at = events_.now();
         total_wait_ms_ += to_ms(offered.started_at - offered.offered_at);
         ++wait_count_;
+        if (!outages_.reach_worker(worker_node, action.call))
+        {
+            return;
+        }
         auto const& kind = spec_.request_kinds[offered.call->kind_index];
         auto const service_time_ms =
             lognormal(random_, kind.mean_service_time_ms,
                       kind.service_time_sigma) *
-            worker_node.service_time_factor * current_slowdown(worker_node);
+            worker_node.service_time_factor * current_slowdown(worker_node) *
+            (worker_node.worker
+                 ? worker_node.worker->service_time_factor(events_.now())
+                 : 1);
         std::size_t nested_count = 0;
         for (auto const& calls : kind.calls)
         {
@@ -755,7 +684,13 @@
             remaining_ms / static_cast<double>(nested_left + 1);
         events_.schedule_after(from_ms(part_ms), [this, &worker_node, id,
                                                   part_ms, nested_left] {
-            auto const& offered = worker_node.offered_calls.at(id);
+            auto const found = worker_node.offered_calls.find(id);
+            if (found == worker_node.offered_calls.end())
+            {
+                // The worker has crashed meanwhile.
+                return;
+            }
+            auto const& offered = found->second;
             if (nested_left == 0 || events_.now() >= offered.call->deadline)
             {
                 end_run(worker_node, id,
@@ -820,10 +755,21 @@
     void end_run(node& worker_node, core::call_id const& id, bool succeeded)
     {
         auto const found = worker_node.offered_calls.find(id);
+        if (found == worker_node.offered_calls.end())
+        {
+            // The worker has crashed meanwhile.
+            return;
+        }
         auto const offered = found->second;
         worker_node.offered_calls.erase(found);
         auto const run_time = std::chrono::duration_cast<milliseconds>(
             events_.now() - offered.started_at);
+        if (succeeded && worker_node.warm_up)
+        {
+            worker_node.warm_up->record_answered_run(
+                {spec_.request_kinds[offered.call->kind_index].route.name,
+                 events_.now() - offered.started_at});
+        }
         handle_event(worker_node,
                      admission::run_ended{
                          id,
@@ -834,7 +780,7 @@
         auto const& kind = spec_.request_kinds[offered.call->kind_index];
         auto const bytes =
             short_message_bytes + (succeeded ? kind.response_bytes : 0);
-        send_response(
+        network_.send_response(
             worker_node, *offered.call->caller_node, bytes,
             [this, &worker_node, call = offered.call, run_time, succeeded,
              load = make_load_report(worker_node)] {
@@ -872,6 +818,10 @@
                                           worker_node.response_pacer.backlog() +
                                           queue.expected_response_time()));
         it.body_rate = queue.body_rate();
+        if (rules_.reports_cold_rate)
+        {
+            it.cold_rate = queue.cold_rate();
+        }
         return it;
     }
 
@@ -899,109 +849,34 @@
         return slowdown;
     }
 
-    bool is_paced(double bytes) const
-    {
-        return rules_.paces_responses &&
-               bytes >
-                   static_cast<double>(transport::max_unpaced_message.value());
-    }
-
     // Without the rule, the queue does not learn that responses are long.
     std::uint64_t response_size_for_queue(request_kind const& kind) const
     {
-        return is_paced(kind.response_bytes)
+        return network_.is_paced(kind.response_bytes)
                    ? static_cast<std::uint64_t>(kind.response_bytes)
                    : 0;
     }
 
-    void send_response(node& sender, node& receiver, double bytes,
-                       std::function<void()> on_arrival)
-    {
-        if (&sender == &receiver || !is_paced(bytes))
-        {
-            send(sender, receiver, bytes, std::move(on_arrival));
-            return;
-        }
-        auto const ticket = sender.response_pacer.open(
-            core::byte_count(static_cast<std::uint64_t>(bytes)));
-        sender.paced_responses.emplace(
-            ticket, paced_response{std::floor(bytes), &receiver,
-                                   std::move(on_arrival)});
-        sender.response_pacer.request(ticket);
-        send_parts(sender);
-    }
-
-    void send_parts(node& sender)
-    {
-        auto& pacer = sender.response_pacer;
-        while (auto const part = pacer.next(events_.now()))
-        {
-            auto const found = sender.paced_responses.find(part->ticket);
-            auto& it = found->second;
-            auto const bytes = static_cast<double>(part->size.value());
-            it.remaining_bytes -= bytes;
-            bool const is_last = it.remaining_bytes <= 0;
-            send(
-                sender, *it.receiver, bytes,
-                is_last ? std::move(it.on_arrival) : [] {});
-            if (is_last)
-            {
-                sender.paced_responses.erase(found);
-                pacer.close(part->ticket);
-                continue;
-            }
-            pacer.request(part->ticket);
-        }
-        auto const next = pacer.next_time();
-        if (next && !std::exchange(sender.part_scheduled, true))
-        {
-            events_.schedule_at(*next, [this, &sender] {
-                sender.part_scheduled = false;
-                send_parts(sender);
-            });
-        }
-    }
-
-    // Delivers a message. It passes the sender's link, the network and the
-    // receiver's link, unless both ends are the same node.
     void send(node& sender, node& receiver, double bytes,
               std::function<void()> on_arrival)
     {
-        if (&sender == &receiver)
-        {
-            events_.schedule_after({}, std::move(on_arrival));
-            return;
-        }
-        ++result_.messages;
-        core::duration delay = local_delay;
-        if (sender.data_centre_index != receiver.data_centre_index)
-        {
-            delay += spec_.cross_data_centre_delay;
-            cross_data_centre_bytes_ += bytes;
-        }
-        auto const send_time = sender.outbound.transmit(events_.now(), bytes);
-        events_.schedule_after(
-            send_time + delay, [this, &receiver, bytes,
-                                on_arrival = std::move(on_arrival)]() mutable {
-                events_.schedule_after(
-                    receiver.inbound.transmit(events_.now(), bytes),
-                    std::move(on_arrival));
-            });
+        network_.send(sender, receiver, bytes, std::move(on_arrival));
     }
 
     deployment spec_;
     policy rules_;
     core::random_source random_;
     event_queue events_;
+    network network_{events_, spec_, rules_};
     core::instant started_at_;
     std::vector<std::unique_ptr<node>> nodes_;
     std::map<core::upstream_id, node*> nodes_by_id_;
     std::map<std::size_t, std::vector<node*>> nodes_by_data_centre_;
-    std::map<core::service_name, std::vector<balancing::upstream>> upstreams_;
+    upstream_lists upstreams_;
+    outages outages_;
     std::uint64_t last_call_number_ = 0;
     double total_wait_ms_ = 0;
     std::uint64_t wait_count_ = 0;
-    double cross_data_centre_bytes_ = 0;
     simulation_result result_;
 };
 
--- a/bench/model/simulation.hpp
+++ b/bench/model/simulation.hpp
@@ -1,7 +1,8 @@
 // Simulates a deployment under load on a simulated clock. The simulated nodes
 // make their decisions with the code of the real program: slot queue, choice of
-// upstreams, next step after a refusal, estimate of the callers' timeouts and
-// retry budget. There are no sockets, and nodes do not fail.
+// upstreams, next step after a refusal, estimate of the callers' timeouts,
+// retry budget and warm-up of workers. There are no sockets, and nodes do not
+// fail.
 //
 // A rule of the model is a part of the nodes' behaviour that a simulation can
 // disable, to measure how much worth callers lose without it.
@@ -10,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,15 @@
     // Load reports are interpreted by their age, and calls are spread over the
     // workers that seem free.
     bool spreads_load = true;
+    // The node beside a worker keeps to the cold rate of the worker while the
+    // worker is or may be cold.
+    bool keeps_cold_rate = true;
+    // Load reports state the cold rate in force.
+    bool reports_cold_rate = true;
+    // The end of an evacuation makes the state of the workers unknown.
+    bool doubts_after_evacuation = true;
+    // A worker that becomes slow is asked whether it is cold.
+    bool asks_slow_workers = true;
 };
 
 // Results of callers' requests.
@@ -82,6 +93,14 @@
     std::uint64_t waits_beside_free_worker = 0;
     std::uint64_t refusals_beside_free_worker = 0;
     load_ratios busiest_to_mean;
+    // Number of crashes of workers that got too many requests while they were
+    // cold, and number of health requests.
+    std::uint64_t cold_crashes = 0;
+    std::uint64_t health_requests = 0;
+    // Time from the end of the last power cut or evacuation to the first second
+    // whose worth_ratio() is 0.9 or more, in seconds, or to the end of the
+    // simulated time if there is none. Empty without such an event.
+    std::optional<double> recovery_s;
 
     request_stats total() const;
 };
