--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -131,6 +131,12 @@
     add_counter(out, "yuccafall_free_slot_refusals_total",
                 "Offers refused by a full worker while another seemed free.",
                 core::value_of(it.free_slot_refusals));
+    add_gauge(out, "yuccafall_unresponsive_nodes",
+              "Nodes that have sent nothing for 350 ms despite a ping.",
+              core::value_of(it.unresponsive_nodes));
+    add_counter(out, "yuccafall_unresponsive_avoided_total",
+                "Calls offered elsewhere because a node was unresponsive.",
+                core::value_of(it.unresponsive_avoided));
     add_counter(out, "yuccafall_retries_total",
                 "Calls offered again that had reached a worker.",
                 core::value_of(it.retries));
@@ -151,6 +157,22 @@
     add_counter(out, "yuccafall_calls_without_response_memory_total",
                 "Calls refused because the memory of responses was used up.",
                 core::value_of(it.responses_without_memory));
+    auto& first_node =
+        add_family(out, "yuccafall_first_node_refusals_total",
+                   "Requests refused because every worker's queue would refuse "
+                   "them, by rank.",
+                   MetricType::Counter);
+    auto const& by_rank = it.first_node_refusals.counts;
+    for (std::size_t i = 0; i < by_rank.size(); ++i)
+    {
+        add_value(
+            first_node, static_cast<double>(core::value_of(by_rank[i])),
+            {{"rank", i + 1 < by_rank.size() ? std::to_string(i) : "other"}});
+    }
+    add_counter(out, "yuccafall_first_node_probes_total",
+                "Requests offered although every worker's queue would refuse "
+                "them, so that the queues report their load.",
+                core::value_of(it.first_node_probes));
     add_latency_metrics(out, it.latency);
 }
 
@@ -188,7 +210,10 @@
         {"requests", it.requests.get()},
         {"responses", it.responses.get()},
         {"worker_responses", it.worker_responses.get()},
-        {"frames", it.frames.get()}};
+        {"frames", it.frames.get()},
+        {"frames_reserve", it.frames ? it.frames->reserve().get() : nullptr},
+        {"control_frames", it.control_frames.get()},
+        {"operators", it.operators.get()}};
     MetricFamily used;
     MetricFamily limit;
     used.name = "yuccafall_memory_held_bytes";
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -161,6 +161,31 @@
     leaving_workers_.record(it.id, it.started, now);
 }
 
+void upstream_scores::record_responsive(core::endpoint const& node,
+                                        bool responsive)
+{
+    if (responsive)
+    {
+        unresponsive_nodes_.erase(node);
+        return;
+    }
+    unresponsive_nodes_.insert(node);
+}
+
+std::vector<upstream const*>
+upstream_scores::responsive(std::vector<upstream const*> const& upstreams) const
+{
+    std::vector<upstream const*> out;
+    for (auto const* it : upstreams)
+    {
+        if (unresponsive_nodes_.count(it->node) == 0)
+        {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
 bool upstream_scores::is_ejected(core::upstream_id const& id,
                                  core::instant now) const
 {
@@ -196,12 +221,16 @@
                                   1024);
         }
     }
+    auto const distance_cost = out.time_to_response;
     auto const mean_run_time = mean_run_time_ms(traits.route);
     auto const found = states_.find(candidate.id);
     if (found == states_.end())
     {
         out.time_to_response += duration_from_ms(mean_run_time);
         out.free_slots = candidate.slots.value();
+        out.candidate.run_time = duration_from_ms(mean_run_time);
+        out.candidate.ends_after = out.candidate.run_time;
+        out.candidate.slots = candidate.slots;
         return out;
     }
     auto const& state = found->second;
@@ -218,7 +247,8 @@
                               duration_from_ms(expected_run_time_ms), now)
                         : load.running.value() + load.waiting.value());
     out.free_slots = slots - open_calls;
-    auto const reported_wait = wait_for_call(load, traits.nested, traits.rank);
+    auto const reported_wait =
+        traits.nested ? load.wait_for_nested : load.wait_at_back;
     auto const remaining_wait = std::max<core::duration>(
         reported_wait - (now - state.reported_at), core::duration::zero());
     if (open_calls >= slots)
@@ -268,6 +298,23 @@
             std::max(link_wait - run_ends_after, core::duration::zero()) +
             transfer_time;
     }
+    out.candidate.run_time = duration_from_ms(expected_run_time_ms);
+    // The choice assumes that the call goes behind all others, since more
+    // urgent calls may arrive first. A refusal is decided by the place that the
+    // call has now.
+    auto const wait_of_rank = wait_for_call(load, traits.nested, traits.rank);
+    auto const advantage = std::clamp<core::duration>(
+        reported_wait - wait_of_rank, core::duration::zero(), out.time_to_slot);
+    out.candidate.ends_after = out.time_to_response - distance_cost - advantage;
+    out.candidate.wait = wait_of_rank > core::milliseconds(0)
+                             ? out.time_to_slot - advantage
+                             : core::duration::zero();
+    if (state.has_report)
+    {
+        out.candidate.report_age = now - state.reported_at;
+    }
+    out.candidate.waiting = load.waiting;
+    out.candidate.slots = candidate.slots;
     if (load.rejection_share > rejection_penalty_threshold)
     {
         out.time_to_response += rejection_penalty;
@@ -362,8 +409,29 @@
                                call_traits const& traits, core::instant now,
                                core::random_source& random)
 {
-    auto const candidates =
-        sample_candidates(eligible(upstreams, tried, now), random);
+    auto const all = eligible(upstreams, tried, now);
+    auto const preferred = responsive(all);
+    if (preferred.empty() || preferred.size() == all.size())
+    {
+        return choose_among(all, traits, now, random);
+    }
+    auto const without_rule = choose_among(all, traits, now, random);
+    auto out = choose_among(preferred, traits, now, random);
+    auto const* const replaced = std::get_if<chosen>(&without_rule);
+    if (auto* const it = std::get_if<chosen>(&out); it && replaced)
+    {
+        it->avoids_unresponsive_node =
+            unresponsive_nodes_.count(replaced->target->node) != 0;
+    }
+    return out;
+}
+
+choice upstream_scores::choose_among(std::vector<upstream const*> upstreams,
+                                     call_traits const& traits,
+                                     core::instant now,
+                                     core::random_source& random) const
+{
+    auto const candidates = sample_candidates(std::move(upstreams), random);
     if (candidates.empty())
     {
         return none_available{};
@@ -393,7 +461,17 @@
     {
         best = spread(candidates, estimates, best, random);
     }
-    return chosen{candidates[best], free_candidates > (best_is_free ? 1U : 0U)};
+    std::vector<candidate_estimate> compared;
+    compared.reserve(estimates.size());
+    for (auto const& it : estimates)
+    {
+        compared.push_back(it.candidate);
+    }
+    chosen out;
+    out.target = candidates[best];
+    out.has_alternative = free_candidates > (best_is_free ? 1U : 0U);
+    out.candidates = std::move(compared);
+    return out;
 }
 
 } // namespace yuccafall::balancing
--- a/src/trace/request_trace.cpp
+++ b/src/trace/request_trace.cpp
@@ -14,24 +14,13 @@
 namespace {
 
 // Events that do not name a request but can explain what happened to one.
-constexpr std::array<std::string_view, 17> state_change_events{
-    "node_started",
-    "drain_started",
-    "drain_ended",
-    "node_stopped",
-    "store_lost",
-    "store_regained",
-    "worker_listed",
-    "worker_removed",
-    "worker_unreachable",
-    "worker_crashed",
-    "request_poisoned",
-    "peer_lost",
-    "control_link_lost",
-    "configuration_applied",
-    "configuration_refused",
-    "evacuation_changed",
-    "settings_read"};
+constexpr std::array<std::string_view, 18> state_change_events{
+    "node_started",          "drain_started",      "drain_ended",
+    "node_stopped",          "store_lost",         "store_regained",
+    "worker_listed",         "worker_removed",     "worker_unreachable",
+    "worker_crashed",        "request_poisoned",   "peer_lost",
+    "peer_unresponsive",     "control_link_lost",  "configuration_applied",
+    "configuration_refused", "evacuation_changed", "settings_read"};
 
 struct error_explanation
 {
@@ -97,6 +86,13 @@
             "the caller disconnected after {} ms, before it got a response",
             value_of(last, "took_ms"));
     }
+    if (last.event == "refused_at_first_node")
+    {
+        return fmt::format("overloaded: by load reports, the queue of every "
+                           "worker would have refused the call; it did not "
+                           "run; {}, shortest wait {} ms",
+                           value_of(last, "reason"), value_of(last, "wait_ms"));
+    }
     auto const kind = value_of(last, "kind");
     auto const found = std::find_if(
         error_explanations.begin(), error_explanations.end(),
@@ -113,7 +109,7 @@
 bool ends_call(log_line const& it)
 {
     return it.event == "call_answered" || it.event == "call_ended" ||
-           it.event == "caller_left";
+           it.event == "caller_left" || it.event == "refused_at_first_node";
 }
 
 // Returns the upstreams that the lines of the request name.
