Replication: Bring the pages of a read to one revision

Cause: a whole state that was read in several pages got the revision of its first page. An item that was written after that page and deleted before its own page was read got no tombstone, so that copies which held it kept it.

Change: if the pages have several revisions, a watch from the first one returns what changed between them, and the state is used as of the watch's revision. If the store has discarded that history, the state is used as before.

Result: spec/deletions.pml reads in pages and searches all states without an error; with BREAK_PAGES it finds the fault. The test of a read of two pages expected the revision of the first page, which was the fault; it now expects the changes between the pages.

--- a/spec/deletions.pml
+++ b/spec/deletions.pml
@@ -6,11 +6,12 @@
  * The model checks that a copy as of a revision holds what the store held at that
  * revision or at a later one, so that a deleted item never comes back.
  *
- * BREAK_INCREMENTAL and BREAK_OLDER_STATE are the two faults of review/1. With
- * READ_IN_PAGES the key may be read later than the revision of the state, as in a
- * read of several pages; KNOWN-RED.txt has the fault that the model finds then.
+ * The whole is read in pages: the key may be read later than the first page, and
+ * what has changed since that page is merged before the state is used. With
+ * BREAK_PAGES the state is used with the revision of the first page instead.
+ * BREAK_INCREMENTAL and BREAK_OLDER_STATE are the two faults of review/1.
  */
-// breaks: BREAK_INCREMENTAL BREAK_OLDER_STATE BREAK_PASSED_ON BREAK_PURGE
+// breaks: BREAK_INCREMENTAL BREAK_OLDER_STATE BREAK_PASSED_ON BREAK_PURGE BREAK_PAGES
 // spin: -DSAFETY -DCOLLAPSE -O2 -m400000
 
 #define LAST 3
@@ -35,7 +36,10 @@
     byte span_before;
     byte span_after;
     /* The revision of the first page while a read is under way, or 0. */
-    byte first_page
+    byte first_page;
+    /* The page with the key has been read, with this item. */
+    bit page_read;
+    byte page_item
 };
 copy node[NODES];
 
@@ -179,21 +183,30 @@
     bit gone;
 end_run:
     do
-#ifdef READ_IN_PAGES
     /* The first page of the whole has been read. */
     :: atomic { n == READER && node[n].first_page == 0 && node[n].as_of < store_revision ->
         node[n].first_page = store_revision }
     /* The page with the key has been read. */
-    :: atomic { node[n].first_page != 0 ->
+    :: atomic { node[n].first_page != 0 && !node[n].page_read ->
+#ifdef BREAK_PAGES
         item = item_at[store_revision];
         apply(n, 0, node[n].first_page, item, gone, true);
         node[n].first_page = 0;
         item = 0 }
 #else
-    /* The whole has been read. */
-    :: atomic { n == READER && node[n].as_of < store_revision ->
-        item = item_at[store_revision];
+        node[n].page_item = item_at[store_revision];
+        node[n].page_read = true }
+    /* A watch has returned what has changed since the first page. */
+    :: atomic { node[n].page_read ->
+        if
+        :: changed_at[store_revision] > node[n].first_page ->
+            item = item_at[store_revision]
+        :: else -> item = node[n].page_item
+        fi;
         apply(n, 0, store_revision, item, gone, true);
+        node[n].first_page = 0;
+        node[n].page_read = false;
+        node[n].page_item = 0;
         item = 0 }
 #endif
     /* The store answers a watch. */
--- a/src/replication/published_state.cpp
+++ b/src/replication/published_state.cpp
@@ -59,8 +59,9 @@
 void published_state::record_missing_tombstones(core::revision as_of)
 {
     // A whole state that was read page by page may already lack items that were
-    // deleted after its revision. Only changes that list all deletions add
-    // their tombstones; without them the span goes on.
+    // deleted after its revision, if the store did not keep the history that
+    // store_reader needs to make it exact. Only changes that list all deletions
+    // add their tombstones; without them the span goes on.
     if (as_of_ != incomplete_span_.after)
     {
         purged_up_to_ = std::max(purged_up_to_, incomplete_span_.after);
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -1,7 +1,9 @@
 // Reads the whole state page by page and then watches the store. The pages are
-// not one consistent snapshot: the combined state gets the revision of the
-// first page, and the watch from that revision returns again what changed while
-// the other pages were read.
+// not one consistent snapshot, so a watch from the revision of the first page
+// returns what changed while the others were read, before the state is used.
+// Without that, an item that was written after the first page and deleted
+// before its own page was read would get no tombstone, and copies that hold it
+// would keep it.
 #include "replication/store_reader.hpp"
 
 #include <algorithm>
@@ -41,13 +43,20 @@
     call_options const options{response_timeout_, connection_idle_
                                                       ? connection_use::renew
                                                       : connection_use::keep};
+    if (pages_complete_)
+    {
+        out.emplace_back(
+            watch{read_->complete_to(), settings_.watch_wait, options});
+        return;
+    }
     if (watch_after_.value() == 0)
     {
-        out.emplace_back(read_page{
-            partial_items_.empty() ? std::string() : partial_items_.back().key,
-            options});
+        out.emplace_back(
+            read_page{read_ ? read_->last_key() : std::string(), options});
         return;
     }
+    // Changes from other nodes have made the rest of the read unnecessary.
+    discard_read();
     // After a failed call, the watch requests an immediate response. With the
     // usual wait, a store that is reachable again but has no changes would look
     // the same as one that does not respond.
@@ -59,29 +68,57 @@
 void store_reader::on(page_read const& it, core::instant, actions& out)
 {
     record_response(out);
-    if (!first_page_revision_)
+    if (!read_)
     {
-        first_page_revision_ = it.as_of;
+        read_.emplace();
     }
-    partial_items_.insert(partial_items_.end(), it.items.begin(),
-                          it.items.end());
+    read_->add_page(it.items, it.as_of);
     if (it.truncated && !it.items.empty())
     {
         start_call(out);
         return;
     }
-    watch_after_ = *first_page_revision_;
-    out.emplace_back(apply_changes{{core::revision(),
-                                    watch_after_,
-                                    std::exchange(partial_items_, {}),
-                                    {}}});
-    first_page_revision_.reset();
+    pages_complete_ = true;
+    if (read_->is_exact())
+    {
+        apply_read(out);
+    }
+    start_call(out);
+}
+
+void store_reader::apply_read(actions& out)
+{
+    auto changes = read_->to_change_set();
+    watch_after_ = std::max(watch_after_, changes.as_of);
+    out.emplace_back(apply_changes{std::move(changes)});
+    discard_read();
+}
+
+void store_reader::discard_read()
+{
+    read_.reset();
+    pages_complete_ = false;
+}
+
+// A store that answers from an older copy may not know all changes yet.
+void store_reader::complete_read(watch_answered const& it, actions& out)
+{
+    read_->add_changes(it.items, it.as_of);
+    if (read_->is_exact())
+    {
+        apply_read(out);
+    }
     start_call(out);
 }
 
 void store_reader::on(watch_answered const& it, core::instant now, actions& out)
 {
     record_response(out);
+    if (pages_complete_)
+    {
+        complete_read(it, out);
+        return;
+    }
     auto const base = watch_after_;
     watch_after_ = std::max(watch_after_, it.as_of);
     if (it.as_of > base)
@@ -101,6 +138,12 @@
 void store_reader::on(history_discarded const&, core::instant, actions& out)
 {
     record_response(out);
+    if (pages_complete_)
+    {
+        // What changed between the pages cannot be read. The state is used
+        // nevertheless, since the next read may end in the same way.
+        apply_read(out);
+    }
     watch_after_ = core::revision();
     start_call(out);
 }
@@ -114,8 +157,7 @@
 void store_reader::on(call_failed const& it, core::instant now, actions& out)
 {
     call_in_flight_ = false;
-    partial_items_.clear();
-    first_page_revision_.reset();
+    discard_read();
     if (!std::exchange(store_lost_, true))
     {
         out.emplace_back(report_store_lost{it.reason});
--- a/src/replication/store_reader.hpp
+++ b/src/replication/store_reader.hpp
@@ -13,6 +13,7 @@
 #include "core/random.hpp"
 #include "core/units.hpp"
 #include "replication/published_state.hpp"
+#include "replication/whole_state_read.hpp"
 
 namespace yuccafall::replication {
 
@@ -168,6 +169,11 @@
     void on(reading_toggled const& it, core::instant now, actions& out);
     void record_response(actions& out);
     void start_call(actions& out);
+    // Passes the state that has been read on, and ends the read.
+    void apply_read(actions& out);
+    // Adds the changes between the pages to the read.
+    void complete_read(watch_answered const& it, actions& out);
+    void discard_read();
 
     reader_settings settings_;
     core::random_source random_;
@@ -182,10 +188,11 @@
     // again after the history that the watch needs was discarded by the store
     // or was too large.
     core::revision watch_after_;
-    // The items and the first page's revision of a read of the whole state that
-    // is not complete.
-    std::vector<store_item> partial_items_;
-    std::optional<core::revision> first_page_revision_;
+    // A read of the whole state that has begun.
+    std::optional<whole_state_read> read_;
+    // All pages of the read have arrived, and the next call is a watch that
+    // returns what changed between them. Invariant: set only if read_ is.
+    bool pages_complete_ = false;
     core::milliseconds backoff_{0};
     core::milliseconds response_timeout_;
     // True until a call succeeds after reading was turned on. The connection of
--- a/src/replication/tests/store_reader_test.cpp
+++ b/src/replication/tests/store_reader_test.cpp
@@ -45,7 +45,10 @@
 
 } // namespace
 
-TEST_CASE("the pages of a read get the revision of the first page")
+// Guards against an item that comes back: it was written after the first page
+// and deleted before its own page was read, so that no copy learned of its
+// deletion.
+TEST_CASE("pages of several revisions are used with what changed between them")
 {
     store_reader it({}, 1);
     REQUIRE(find<read_page>(it.handle(reader_timer_expired{}, at(0)))
@@ -53,13 +56,63 @@
     auto const more = it.handle(
         page_read{{written_item("a", 2)}, core::revision(5), true}, at(4));
     REQUIRE(find<read_page>(more)->after_key == "a");
-    auto const done = it.handle(
+    auto const pages = it.handle(
         page_read{{written_item("b", 7)}, core::revision(8), false}, at(8));
+    REQUIRE_FALSE(find<apply_changes>(pages));
+    REQUIRE(find<watch>(pages)->after == core::revision(5));
+
+    // A store that answers from an older copy is asked again.
+    auto const early = it.handle(watch_answered{{}, core::revision(6)}, at(10));
+    REQUIRE_FALSE(find<apply_changes>(early));
+    REQUIRE(find<watch>(early)->after == core::revision(6));
+
+    store_item deleted{"a", {}, core::revision(9), true};
+    store_item gone{"c", {}, core::revision(8), true};
+    auto const done = it.handle(watch_answered{{written_item("b", 7), gone,
+                                                deleted, written_item("d", 9)},
+                                               core::revision(9)},
+                                at(12));
     auto const* applied = find<apply_changes>(done);
     REQUIRE(applied);
-    REQUIRE(applied->changes.as_of == core::revision(5));
+    REQUIRE(applied->changes.base == core::revision());
+    REQUIRE(applied->changes.as_of == core::revision(9));
     REQUIRE(applied->changes.items.size() == 2);
-    REQUIRE(find<watch>(done)->after == core::revision(5));
+    REQUIRE(applied->changes.items[0].key == "b");
+    REQUIRE(applied->changes.items[1].key == "d");
+    REQUIRE(find<watch>(done)->after == core::revision(9));
+}
+
+// Guards against a second call for a read during which nothing changed, and
+// against a node without any state while the store keeps too little history.
+TEST_CASE("pages are used without a watch if none is needed or possible")
+{
+    store_reader it({}, 1);
+    it.handle(reader_timer_expired{}, at(0));
+    it.handle(page_read{{written_item("a", 2)}, core::revision(5), true},
+              at(4));
+    SECTION("one revision")
+    {
+        auto const done = it.handle(
+            page_read{{written_item("b", 3)}, core::revision(5), false}, at(8));
+        REQUIRE(find<apply_changes>(done)->changes.as_of == core::revision(5));
+        REQUIRE(find<watch>(done)->after == core::revision(5));
+    }
+    SECTION("discarded history")
+    {
+        it.handle(page_read{{written_item("b", 7)}, core::revision(8), false},
+                  at(8));
+        auto const done = it.handle(history_discarded{}, at(10));
+        REQUIRE(find<apply_changes>(done)->changes.as_of == core::revision(5));
+        REQUIRE(find<read_page>(done)->after_key.empty());
+    }
+    SECTION("failed call")
+    {
+        it.handle(page_read{{written_item("b", 7)}, core::revision(8), false},
+                  at(8));
+        it.handle(call_failed{}, at(10));
+        auto const again = it.handle(reader_timer_expired{}, at(2'000));
+        REQUIRE(find<read_page>(again)->after_key.empty());
+    }
 }
 
 // Guards against one store call for each change in a burst of changes.
