--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -157,11 +157,11 @@
     add_counter(out, "yuccafall_calls_without_response_memory_total",
                 "Calls refused because the memory of responses was used up.",
                 core::value_of(it.responses_without_memory));
-    auto& first_node =
-        add_family(out, "yuccafall_first_node_refusals_total",
-                   "Requests refused because every worker's queue would refuse "
-                   "them, by rank.",
-                   MetricType::Counter);
+    auto& first_node = add_family(
+        out, "yuccafall_first_node_refusals_total",
+        "Requests refused because the queues of all compared workers "
+        "would refuse them, by rank.",
+        MetricType::Counter);
     auto const& by_rank = it.first_node_refusals.counts;
     for (std::size_t i = 0; i < by_rank.size(); ++i)
     {
@@ -170,8 +170,8 @@
             {{"rank", i + 1 < by_rank.size() ? std::to_string(i) : "other"}});
     }
     add_counter(out, "yuccafall_first_node_probes_total",
-                "Requests offered although every worker's queue would refuse "
-                "them, so that the queues report their load.",
+                "Requests offered although the queues of all compared workers "
+                "would refuse them, so that they report their load.",
                 core::value_of(it.first_node_probes));
     add_latency_metrics(out, it.latency);
 }
--- a/src/admission/first_node_admission.cpp
+++ b/src/admission/first_node_admission.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// An older report says too little about the queue. While calls arrive at a full
-// worker, its reports are at most 50 ms apart.
+// An older report says too little about the queue. Reports of a full worker
+// come with its responses and refusals, and more of them while its load
+// changes.
 constexpr core::milliseconds max_report_age{250};
 
 // Percentage of the calls to be refused that are admitted nevertheless.
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -301,14 +301,20 @@
     out.candidate.run_time = duration_from_ms(expected_run_time_ms);
     // The choice assumes that the call goes behind all others, since more
     // urgent calls may arrive first. A refusal is decided by the place that the
-    // call has now.
+    // call has now, ahead of the less urgent calls that wait or were sent since
+    // the report.
     auto const wait_of_rank = wait_for_call(load, traits.nested, traits.rank);
-    auto const advantage = std::clamp<core::duration>(
-        reported_wait - wait_of_rank, core::duration::zero(), out.time_to_slot);
-    out.candidate.ends_after = out.time_to_response - distance_cost - advantage;
     out.candidate.wait = wait_of_rank > core::milliseconds(0)
-                             ? out.time_to_slot - advantage
+                             ? out.time_to_slot
                              : core::duration::zero();
+    if (wait_of_rank < reported_wait)
+    {
+        out.candidate.wait = std::clamp<core::duration>(
+            wait_of_rank - (now - state.reported_at), core::duration::zero(),
+            out.candidate.wait);
+    }
+    out.candidate.ends_after = out.time_to_response - distance_cost -
+                               (out.time_to_slot - out.candidate.wait);
     if (state.has_report)
     {
         out.candidate.report_age = now - state.reported_at;
@@ -409,11 +415,15 @@
                                call_traits const& traits, core::instant now,
                                core::random_source& random)
 {
-    auto const all = eligible(upstreams, tried, now);
+    auto all = eligible(upstreams, tried, now);
+    if (unresponsive_nodes_.empty())
+    {
+        return choose_among(std::move(all), traits, now, random);
+    }
     auto const preferred = responsive(all);
     if (preferred.empty() || preferred.size() == all.size())
     {
-        return choose_among(all, traits, now, random);
+        return choose_among(std::move(all), traits, now, random);
     }
     auto const without_rule = choose_among(all, traits, now, random);
     auto out = choose_among(preferred, traits, now, random);
@@ -422,6 +432,9 @@
     {
         it->avoids_unresponsive_node =
             unresponsive_nodes_.count(replaced->target->node) != 0;
+        // The workers that were left out may have room, so that the call must
+        // not be refused for the load of the others.
+        it->candidates.clear();
     }
     return out;
 }
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -110,7 +110,8 @@
     // True if another upstream would have been chosen if its node were not
     // unresponsive.
     bool avoids_unresponsive_node = false;
-    // The estimates of all candidates, including the target.
+    // The estimates of all candidates, including the target. Empty if workers
+    // beside unresponsive nodes were left out.
     std::vector<candidate_estimate> candidates;
 };
 struct none_available
@@ -129,8 +130,9 @@
     // True if the response is expected to be long, so that it waits until the
     // link of the worker's VM has carried those before it.
     bool long_response = false;
-    // Urgency of the call's route. It decides how long a call waits that is not
-    // nested.
+    // Urgency of the call's route, for the estimates by which calls are
+    // refused. The choice assumes that a call that is not nested goes behind
+    // all others.
     core::rank rank;
 };
 
--- a/src/commands/precheck.cpp
+++ b/src/commands/precheck.cpp
@@ -74,7 +74,10 @@
                                                   : plain_text(*reason));
         return tl::unexpected(exit_code::unavailable);
     }
-    return decode(response->body, "node " + node, streams);
+    auto it = decode(response->body, "node " + node, streams);
+    // The exit code for refused configurations is about the operator's file.
+    return it ? std::move(it)
+              : read_result(tl::unexpected(exit_code::unavailable));
 }
 
 void print_text(std::vector<precheck::finding> const& findings,
--- a/src/commands/tests/precheck_command_test.cpp
+++ b/src/commands/tests/precheck_command_test.cpp
@@ -109,6 +109,11 @@
     REQUIRE(it.out.empty());
     REQUIRE(it.err.find("none yet") != std::string::npos);
 
+    fake_node other_program(R"({"revision":7})");
+    it = run({"precheck", flag, other_program.flag()});
+    REQUIRE(it.code == exit_code::unavailable);
+    REQUIRE(it.out.empty());
+
     it = run(
         {"precheck", flag, "--node=127.0.0.1:1", "--against=" + next.path()});
     REQUIRE(it.code == exit_code::usage);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -343,9 +343,15 @@
     server_->last_request_received_at_ = request_received_at_;
     enter_phase(phase::responding);
     // Reading detects a caller that disconnects while the request is being
-    // handled. If the caller has left already, which happens when this process
-    // was delayed, that is handled before the request.
+    // handled.
     read();
+    if (!server_->settings().drops_abandoned_requests)
+    {
+        server_->request_handler_(shared_from_this(), std::move(message));
+        return;
+    }
+    // A caller may have left already if this process was delayed. The read
+    // detects that before the posted handler runs.
     asio::post(
         socket_.get_executor(),
         [self = shared_from_this(), message = std::move(message)]() mutable {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -56,6 +56,10 @@
     // Longer than a client on a line of a few kilobytes per second needs for
     // the largest step in which its kernel acknowledges data (64 kB).
     core::milliseconds transfer_window{30'000};
+    // A request whose caller has already left, or has closed its sending side,
+    // is dropped. Otherwise it is handled, since its response may still be
+    // read.
+    bool drops_abandoned_requests = false;
     // Responses that are longer than transport::max_unpaced_message are sent in
     // parts that this link grants. Null if responses are sent at once.
     std::shared_ptr<transport::paced_link> link;
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -213,6 +213,9 @@
 TEST_CASE("a request whose caller has already left is not handled")
 {
     kept_connection it;
+    server_settings settings;
+    settings.drops_abandoned_requests = true;
+    it.receiver().set_settings(settings);
     auto const caller = it.open_another();
     boost::asio::write(*caller, boost::asio::buffer(serialize(get("/a"))));
     caller->shutdown(tcp::socket::shutdown_send);
@@ -227,6 +230,21 @@
     REQUIRE(it.handled() == 0);
 }
 
+// Guards against a probe or an operator's tool that closes its sending side
+// after the request and gets no response.
+TEST_CASE("a half-closed connection gets its response if nothing is revoked")
+{
+    kept_connection it;
+    auto const caller = it.open_another();
+    boost::asio::write(*caller, boost::asio::buffer(serialize(get("/a"))));
+    caller->shutdown(tcp::socket::shutdown_send);
+    it.run_until([&] { return it.handled() == 1; });
+    it.run_until([&] { return caller->available() > 0; });
+    std::string response(caller->available(), '\0');
+    caller->read_some(boost::asio::buffer(response));
+    REQUIRE(response.find(" 200 ") != std::string::npos);
+}
+
 // Guards against a process that is ended for its memory: bodies that were still
 // arriving did not count (two uploads of 60 MiB took a node of 260 MB to 365
 // MB).
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -314,7 +314,8 @@
                          {"retry_after_ms", why.retry_after.count()}});
     }
     caller_connection_->send_response(ingress_->error_response(
-        {error_kind::overloaded, "every worker would refuse the request"},
+        {error_kind::overloaded,
+         "every compared worker would refuse the request"},
         why.retry_after));
     finish();
 }
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -67,6 +67,7 @@
     auto settings = server_->settings();
     settings.request_memory = settings_.request_memory;
     settings.response_memory = settings_.response_memory;
+    settings.drops_abandoned_requests = true;
     settings.max_connections = settings_.max_connections;
     settings.min_transfer_rate = settings_.min_transfer_rate;
     settings.transfer_window = settings_.transfer_window;
--- a/src/replication/replicator.cpp
+++ b/src/replication/replicator.cpp
@@ -140,7 +140,7 @@
 void replicator::on(page_read const& it, core::instant now, actions& out)
 {
     handle_reader_event(it, now, out);
-    if (!it.truncated)
+    if (!reader_.is_reading_whole())
     {
         record_confirmation(now, now, out);
     }
@@ -150,7 +150,10 @@
 void replicator::on(watch_answered const& it, core::instant now, actions& out)
 {
     handle_reader_event(it, now, out);
-    record_confirmation(now, now, out);
+    if (!reader_.is_reading_whole())
+    {
+        record_confirmation(now, now, out);
+    }
     update_store_reading(now, out);
 }
 
--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -43,10 +43,14 @@
     call_options const options{response_timeout_, connection_idle_
                                                       ? connection_use::renew
                                                       : connection_use::keep};
+    // After a failed call, a watch requests an immediate response. With the
+    // usual wait, a store that is reachable again but has no changes would look
+    // the same as one that does not respond.
+    auto const wait =
+        store_lost_ ? core::milliseconds(0) : settings_.watch_wait;
     if (pages_complete_)
     {
-        out.emplace_back(
-            watch{read_->complete_to(), settings_.watch_wait, options});
+        out.emplace_back(watch{read_->complete_to(), wait, options});
         return;
     }
     if (watch_after_.value() == 0)
@@ -57,11 +61,6 @@
     }
     // Changes from other nodes have made the rest of the read unnecessary.
     discard_read();
-    // After a failed call, the watch requests an immediate response. With the
-    // usual wait, a store that is reachable again but has no changes would look
-    // the same as one that does not respond.
-    auto const wait =
-        store_lost_ ? core::milliseconds(0) : settings_.watch_wait;
     out.emplace_back(watch{watch_after_, wait, options});
 }
 
@@ -135,17 +134,21 @@
     timer_due_ = now + settings_.batch_delay;
 }
 
-void store_reader::on(history_discarded const&, core::instant, actions& out)
+void store_reader::on(history_discarded const&, core::instant now, actions& out)
 {
     record_response(out);
-    if (pages_complete_)
+    if (!pages_complete_)
     {
-        // What changed between the pages cannot be read. The state is used
-        // nevertheless, since the next read may end in the same way.
-        apply_read(out);
+        watch_after_ = core::revision();
+        start_call(out);
+        return;
     }
+    // What changed between the pages cannot be read. The state is used
+    // nevertheless, since the next read may end in the same way. For this
+    // reason the next read is delayed.
+    apply_read(out);
     watch_after_ = core::revision();
-    start_call(out);
+    timer_due_ = now + settings_.batch_delay;
 }
 
 // The whole state holds only the newest version of each value.
@@ -157,7 +160,12 @@
 void store_reader::on(call_failed const& it, core::instant now, actions& out)
 {
     call_in_flight_ = false;
-    discard_read();
+    // Complete pages are kept: the watch for the changes between them can be
+    // repeated, and a store may answer reads while its watches fail.
+    if (!pages_complete_)
+    {
+        discard_read();
+    }
     if (!std::exchange(store_lost_, true))
     {
         out.emplace_back(report_store_lost{it.reason});
--- a/src/replication/store_reader.hpp
+++ b/src/replication/store_reader.hpp
@@ -156,6 +156,10 @@
 
     std::optional<core::instant> next_timer() const { return timer_due_; }
 
+    // Returns whether the responses so far do not bring the copy of this node
+    // up to date, since a read of the whole state is not complete.
+    bool is_reading_whole() const { return read_.has_value(); }
+
 private:
     using actions = std::vector<reader_action>;
 
--- a/src/replication/tests/store_reader_test.cpp
+++ b/src/replication/tests/store_reader_test.cpp
@@ -103,18 +103,48 @@
                   at(8));
         auto const done = it.handle(history_discarded{}, at(10));
         REQUIRE(find<apply_changes>(done)->changes.as_of == core::revision(5));
-        REQUIRE(find<read_page>(done)->after_key.empty());
-    }
-    SECTION("failed call")
-    {
-        it.handle(page_read{{written_item("b", 7)}, core::revision(8), false},
-                  at(8));
-        it.handle(call_failed{}, at(10));
-        auto const again = it.handle(reader_timer_expired{}, at(2'000));
+        REQUIRE_FALSE(find<read_page>(done));
+        REQUIRE(it.next_timer() == at(160));
+        auto const again = it.handle(reader_timer_expired{}, at(160));
         REQUIRE(find<read_page>(again)->after_key.empty());
     }
 }
 
+// Guards against a node that gets no state from a store whose watches fail now
+// and then: the pages were read again after each failed watch.
+TEST_CASE("complete pages are kept if the watch that completes them fails")
+{
+    store_reader it({}, 1);
+    it.handle(reader_timer_expired{}, at(0));
+    it.handle(page_read{{written_item("a", 2)}, core::revision(5), true},
+              at(4));
+    it.handle(page_read{{written_item("b", 7)}, core::revision(8), false},
+              at(8));
+    it.handle(call_failed{}, at(10));
+    auto const again = it.handle(reader_timer_expired{}, at(2'000));
+    REQUIRE(find<watch>(again)->after == core::revision(5));
+    REQUIRE(find<watch>(again)->wait == milliseconds(0));
+    auto const done = it.handle(
+        watch_answered{{written_item("b", 7)}, core::revision(8)}, at(2'004));
+    REQUIRE(find<apply_changes>(done)->changes.as_of == core::revision(8));
+    REQUIRE_FALSE(it.is_reading_whole());
+}
+
+// Guards against a page of an older copy of the store that counts as current:
+// what had changed between the two copies was never read.
+TEST_CASE("a page that is older than the first one is completed as well")
+{
+    store_reader it({}, 1);
+    it.handle(reader_timer_expired{}, at(0));
+    it.handle(page_read{{written_item("a", 2)}, core::revision(5), true},
+              at(4));
+    auto const pages = it.handle(
+        page_read{{written_item("b", 1)}, core::revision(3), false}, at(8));
+    REQUIRE_FALSE(find<apply_changes>(pages));
+    REQUIRE(it.is_reading_whole());
+    REQUIRE(find<watch>(pages)->after == core::revision(3));
+}
+
 // Guards against one store call for each change in a burst of changes.
 TEST_CASE("changes in quick succession are read with one call")
 {
--- a/src/replication/whole_state_read.cpp
+++ b/src/replication/whole_state_read.cpp
@@ -13,7 +13,7 @@
 void whole_state_read::add_page(std::vector<store_item> const& items,
                                 core::revision as_of)
 {
-    complete_to_ = complete_to_.value_or(as_of);
+    complete_to_ = std::min(complete_to_.value_or(as_of), as_of);
     newest_ = std::max(newest_, as_of);
     for (auto const& it : items)
     {
--- a/src/replication/whole_state_read.hpp
+++ b/src/replication/whole_state_read.hpp
@@ -2,7 +2,7 @@
 //
 // The store returns each page as of its own revision, so that an item may be
 // written or deleted between two pages. The pages then belong to no revision of
-// the store. The changes after the first page make them exact.
+// the store. The changes after the oldest page make them exact.
 #ifndef YUCCAFALL_REPLICATION_WHOLE_STATE_READ_HPP
 #define YUCCAFALL_REPLICATION_WHOLE_STATE_READ_HPP
 
@@ -25,8 +25,9 @@
     // Adds the next page, which the store returned at the revision.
     void add_page(std::vector<store_item> const& items, core::revision as_of);
 
-    // Returns the revision up to which the state contains all changes.
-    // Precondition: a page has been added.
+    // Returns the revision up to which the state contains all changes. It is
+    // that of the oldest page at first, since the store may return a page from
+    // an older copy. Precondition: a page has been added.
     core::revision complete_to() const { return *complete_to_; }
 
     // Returns whether the state is that of one revision of the store.
@@ -43,7 +44,7 @@
 private:
     void add(store_item const& it);
 
-    // By key. Deleted items stay, so that a page cannot restore them.
+    // By key, with the items that a change has deleted.
     std::map<std::string, store_item> items_;
     std::string last_key_;
     std::optional<core::revision> complete_to_;
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -29,6 +29,10 @@
 // near the one that counts as slow.
 constexpr core::milliseconds min_slow_check_delay{100};
 
+// A frame that waits for room checks again for slow peers after this long at
+// the latest. A peer that begins to hold memory meanwhile is slow no sooner.
+constexpr core::milliseconds max_slow_check_delay{1'000};
+
 // Largest number of bytes that are passed to the kernel at once.
 constexpr std::size_t max_write_size = 256UL * 1024;
 
@@ -155,9 +159,13 @@
     }
     if (options_.memory)
     {
-        // A frame that would never fit is sent alone.
+        // A frame that would never fit is sent alone. A short frame must not
+        // end the transfer of such a frame, which would begin again and again.
+        using eviction = core::memory_part::eviction;
         options_.memory->make_room(core::byte_count(size),
-                                   core::memory_part::eviction::all_holders,
+                                   frame.size() > max_unpaced_message.value()
+                                       ? eviction::all_holders
+                                       : eviction::slow_holders,
                                    core::boot_clock::now());
     }
     // Making room may have closed this connection.
@@ -435,8 +443,9 @@
     auto const next_check = options_.memory->next_slow_holder_at();
     if (next_check)
     {
-        room_timer_.expires_after(std::max<core::duration>(
-            *next_check - core::boot_clock::now(), min_slow_check_delay));
+        room_timer_.expires_after(std::clamp<core::duration>(
+            *next_check - core::boot_clock::now(), min_slow_check_delay,
+            max_slow_check_delay));
     }
     // As a pending read does, the timer keeps the connection alive.
     room_timer_.async_wait([self = shared_from_this()](error_code const& ec) {
@@ -472,14 +481,15 @@
     {
         return;
     }
-    if (!has_room_for_frame())
+    bool const has_room = has_room_for_frame();
+    // Making room may have closed this connection.
+    if (!open_)
     {
-        wait_for_room();
         return;
     }
-    // Making room may have closed this connection.
-    if (!open_)
+    if (!has_room)
     {
+        wait_for_room();
         return;
     }
     stop_waiting_for_room();
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -107,7 +107,10 @@
 
 void fake_worker::crash()
 {
-    thread_.invoke([&] { stop_serving(); });
+    thread_.invoke([&] {
+        return_timer_.reset();
+        stop_serving();
+    });
 }
 
 void fake_worker::stop_serving()
