--- a/src/replication/tests/replicator_test.cpp
+++ b/src/replication/tests/replicator_test.cpp
@@ -58,6 +58,25 @@
 
 } // namespace
 
+// Guards against other nodes that stop reading the store because this node
+// confirms a copy which its read of several pages has not brought up to date.
+TEST_CASE("a copy is confirmed only when a read of several pages is complete")
+{
+    auto it = make_reader();
+    it.handle(history_discarded{}, at(1'000));
+    it.handle(page_read{{written_item("a", 9)}, core::revision(20), true},
+              at(1'004));
+    it.handle(page_read{{written_item("b", 21)}, core::revision(21), false},
+              at(1'008));
+    REQUIRE(it.confirmed_ago(at(1'008)) == milliseconds(804));
+    it.handle(watch_answered{{}, core::revision(20)}, at(1'012));
+    REQUIRE(it.confirmed_ago(at(1'012)) == milliseconds(808));
+    it.handle(watch_answered{{written_item("b", 21)}, core::revision(21)},
+              at(1'016));
+    REQUIRE(it.confirmed_ago(at(1'016)) == milliseconds(0));
+    REQUIRE(it.state().as_of() == core::revision(21));
+}
+
 TEST_CASE("each message is equal after encoding and decoding")
 {
     message const messages[] = {
