--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -392,11 +392,11 @@
     loopback net;
     connection_options options;
     options.memory =
-        std::make_shared<core::memory_part>(core::byte_count(14'000'000));
+        std::make_shared<core::memory_part>(core::byte_count(7'000'000));
     auto const first = net.connect(channel_kind::traffic, options);
     auto const second = net.connect(channel_kind::traffic, options);
     net.run_until([&] { return options.memory->used().value() == 0; });
-    REQUIRE(first->send(std::string(16'000'000, 'x')));
+    REQUIRE(first->send(std::string(8'000'000, 'x')));
     REQUIRE_FALSE(options.memory->has_room(core::byte_count(1)));
     REQUIRE(second->send(std::string(100, 'y')));
     REQUIRE(first->open());
