--- a/src/replication/store_reader.cpp
+++ b/src/replication/store_reader.cpp
@@ -1,7 +1,9 @@
 // Reads the whole state page by page and then watches the store. The pages are
-// not one consistent snapshot: the combined state gets the revision of the
-// first page, and the watch from that revision returns again what changed while
-// the other pages were read.
+// not one consistent snapshot, so a watch from the revision of the first page
+// returns what changed while the others were read, before the state is used.
+// Without that, an item that was written after the first page and deleted
+// before its own page was read would get no tombstone, and copies that hold it
+// would keep it.
 #include "replication/store_reader.hpp"
 
 #include <algorithm>
@@ -41,47 +43,81 @@
     call_options const options{response_timeout_, connection_idle_
                                                       ? connection_use::renew
                                                       : connection_use::keep};
-    if (watch_after_.value() == 0)
-    {
-        out.emplace_back(read_page{
-            partial_items_.empty() ? std::string() : partial_items_.back().key,
-            options});
-        return;
-    }
-    // After a failed call, the watch requests an immediate response. With the
+    // After a failed call, a watch requests an immediate response. With the
     // usual wait, a store that is reachable again but has no changes would look
     // the same as one that does not respond.
     auto const wait =
         store_lost_ ? core::milliseconds(0) : settings_.watch_wait;
+    if (pages_complete_)
+    {
+        out.emplace_back(watch{read_->complete_to(), wait, options});
+        return;
+    }
+    if (watch_after_.value() == 0)
+    {
+        out.emplace_back(
+            read_page{read_ ? read_->last_key() : std::string(), options});
+        return;
+    }
+    // Changes from other nodes have made the rest of the read unnecessary.
+    discard_read();
     out.emplace_back(watch{watch_after_, wait, options});
 }
 
 void store_reader::on(page_read const& it, core::instant, actions& out)
 {
     record_response(out);
-    if (!first_page_revision_)
+    if (!read_)
     {
-        first_page_revision_ = it.as_of;
+        read_.emplace();
     }
-    partial_items_.insert(partial_items_.end(), it.items.begin(),
-                          it.items.end());
+    read_->add_page(it.items, it.as_of);
     if (it.truncated && !it.items.empty())
     {
         start_call(out);
         return;
     }
-    watch_after_ = *first_page_revision_;
-    out.emplace_back(apply_changes{{core::revision(),
-                                    watch_after_,
-                                    std::exchange(partial_items_, {}),
-                                    {}}});
-    first_page_revision_.reset();
+    pages_complete_ = true;
+    if (read_->is_exact())
+    {
+        apply_read(out);
+    }
+    start_call(out);
+}
+
+void store_reader::apply_read(actions& out)
+{
+    auto changes = read_->to_change_set();
+    watch_after_ = std::max(watch_after_, changes.as_of);
+    out.emplace_back(apply_changes{std::move(changes)});
+    discard_read();
+}
+
+void store_reader::discard_read()
+{
+    read_.reset();
+    pages_complete_ = false;
+}
+
+// A store that answers from an older copy may not know all changes yet.
+void store_reader::complete_read(watch_answered const& it, actions& out)
+{
+    read_->add_changes(it.items, it.as_of);
+    if (read_->is_exact())
+    {
+        apply_read(out);
+    }
     start_call(out);
 }
 
 void store_reader::on(watch_answered const& it, core::instant now, actions& out)
 {
     record_response(out);
+    if (pages_complete_)
+    {
+        complete_read(it, out);
+        return;
+    }
     auto const base = watch_after_;
     watch_after_ = std::max(watch_after_, it.as_of);
     if (it.as_of > base)
@@ -98,11 +134,21 @@
     timer_due_ = now + settings_.batch_delay;
 }
 
-void store_reader::on(history_discarded const&, core::instant, actions& out)
+void store_reader::on(history_discarded const&, core::instant now, actions& out)
 {
     record_response(out);
+    if (!pages_complete_)
+    {
+        watch_after_ = core::revision();
+        start_call(out);
+        return;
+    }
+    // What changed between the pages cannot be read. The state is used
+    // nevertheless, since the next read may end in the same way. For this
+    // reason the next read is delayed.
+    apply_read(out);
     watch_after_ = core::revision();
-    start_call(out);
+    timer_due_ = now + settings_.batch_delay;
 }
 
 // The whole state holds only the newest version of each value.
@@ -114,8 +160,12 @@
 void store_reader::on(call_failed const& it, core::instant now, actions& out)
 {
     call_in_flight_ = false;
-    partial_items_.clear();
-    first_page_revision_.reset();
+    // Complete pages are kept: the watch for the changes between them can be
+    // repeated, and a store may answer reads while its watches fail.
+    if (!pages_complete_)
+    {
+        discard_read();
+    }
     if (!std::exchange(store_lost_, true))
     {
         out.emplace_back(report_store_lost{it.reason});
