--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <future>
 #include <iterator>
 #include <numeric>
 #include <vector>
@@ -216,9 +217,11 @@
     comparison out;
     for (std::size_t i = 0; i < seeds; ++i)
     {
+        auto without = std::async(std::launch::async, [&] {
+            return run_simulation(spec, reduced, first_seed + i);
+        });
         results.push_back(run_simulation(spec, {}, first_seed + i));
-        results_without.push_back(
-            run_simulation(spec, reduced, first_seed + i));
+        results_without.push_back(without.get());
         auto const worth = results.back().total().worth_ratio();
         auto const worth_without = results_without.back().total().worth_ratio();
         out.worth += worth / static_cast<double>(seeds);
