--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -1,11 +1,7 @@
 // Tests the server over real connections.
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +11,7 @@
 
 #include "http/client_connection.hpp"
 #include "http/server.hpp"
+#include "transport/tests/delivery.hpp"
 
 using namespace yuccafall;
 using namespace yuccafall::http;
@@ -219,12 +216,7 @@
     auto const caller = it.open_another();
     boost::asio::write(*caller, boost::asio::buffer(serialize(get("/a"))));
     caller->shutdown(tcp::socket::shutdown_send);
-    int unacknowledged = 1;
-    while (unacknowledged > 0)
-    {
-        ::ioctl(caller->native_handle(), SIOCOUTQ, &unacknowledged);
-        std::this_thread::sleep_for(milliseconds(1));
-    }
+    transport::tests::wait_until_delivered(*caller);
     it.run_until([&] { return it.receiver().connections() == 2; });
     it.run_until([&] { return it.receiver().connections() == 1; });
     REQUIRE(it.handled() == 0);
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -98,6 +98,19 @@
     return std::string(header.begin(), header.end()) + frame;
 }
 
+std::shared_ptr<core::memory_part> make_memory()
+{
+    return std::make_shared<core::memory_part>(core::byte_count(1'000'000));
+}
+
+// Options of a server whose connections count in the part.
+acceptor_options options_with(std::shared_ptr<core::memory_part> memory)
+{
+    acceptor_options out;
+    out.connection.memory = std::move(memory);
+    return out;
+}
+
 asio::ip::tcp::socket raw_socket(loopback& it)
 {
     asio::ip::tcp::socket socket(it.context);
@@ -428,11 +441,8 @@
 // Guards against large frames of many peers that arrive at the same time.
 TEST_CASE("a long frame is read only when there is memory for it")
 {
-    acceptor_options options;
-    auto const memory =
-        std::make_shared<core::memory_part>(core::byte_count(1'000'000));
-    options.connection.memory = memory;
-    loopback net(options);
+    auto const memory = make_memory();
+    loopback net(options_with(memory));
     auto const client = net.connect();
     client->start({});
     core::held_memory other(memory);
@@ -457,13 +467,10 @@
 // and against a peer that is taken for one that still sends.
 TEST_CASE("a peer that is silent while its frame waits does not count as alive")
 {
-    acceptor_options options;
-    auto const memory =
-        std::make_shared<core::memory_part>(core::byte_count(1'000'000));
-    options.connection.memory = memory;
-    loopback net(options);
+    auto const memory = make_memory();
+    loopback net(options_with(memory));
     core::held_memory other(memory);
-    other.resize(core::byte_count(1'000'000));
+    other.resize(memory->limit());
     auto peer = raw_socket(net);
     std::string const kind("\0\0\0\1\1", 5);
     std::string const frame(500'000, 'x');
@@ -489,13 +496,10 @@
 // this node does not read.
 TEST_CASE("a peer that has filled the receive buffer counts as alive")
 {
-    acceptor_options options;
-    auto const memory =
-        std::make_shared<core::memory_part>(core::byte_count(1'000'000));
-    options.connection.memory = memory;
-    loopback net(options);
+    auto const memory = make_memory();
+    loopback net(options_with(memory));
     core::held_memory other(memory);
-    other.resize(core::byte_count(1'000'000));
+    other.resize(memory->limit());
     auto const client = net.connect();
     client->start({});
     net.run_until([&] { return net.server != nullptr; });
--- a/src/upstream/tests/worker_owner_test.cpp
+++ b/src/upstream/tests/worker_owner_test.cpp
@@ -1,8 +1,5 @@
 // Tests the calls to a worker with connections over the loopback interface. All
 // handlers run on the test's thread, so the order of their events is fixed.
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -21,6 +18,7 @@
 #include "peers/codec.hpp"
 #include "peers/peer_server.hpp"
 #include "transport/frame_reader.hpp"
+#include "transport/tests/delivery.hpp"
 #include "upstream/worker_owner.hpp"
 
 using namespace yuccafall;
@@ -58,12 +56,7 @@
 void deliver(tcp::socket& to, std::string const& bytes)
 {
     asio::write(to, asio::buffer(bytes));
-    int unacknowledged = 1;
-    while (unacknowledged > 0)
-    {
-        ::ioctl(to.native_handle(), SIOCOUTQ, &unacknowledged);
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
+    transport::tests::wait_until_delivered(to);
 }
 
 // An owner whose worker is a socket of the test, and a connection on which the
