--- a/src/admission/first_node_admission.hpp
+++ b/src/admission/first_node_admission.hpp
@@ -1,5 +1,6 @@
 // Decides whether a call is refused at the node that has received the caller's
-// request, because the queue of every worker would refuse it.
+// request, because the queues of all workers that were compared for it would
+// refuse it. In a large service these are a random sample.
 //
 // The decision has no state: it depends on the load reports alone, so it admits
 // all calls as soon as the reports show room or are too old. Some of the calls
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -55,8 +55,8 @@
     // offered to, and those in data centres that have been evacuated since the
     // call began.
     std::set<core::upstream_id> excluded_upstreams() const;
-    // Returns whether the call is refused without an offer, because the queue
-    // of every worker would refuse it.
+    // Returns whether the call is refused without an offer, because the
+    // queues of all compared workers would refuse it.
     bool is_refused_at_first_node(balancing::chosen const& choice,
                                   core::instant now);
     void refuse_at_first_node(admission::first_node_refused const& why);
--- a/src/ingress/counters.hpp
+++ b/src/ingress/counters.hpp
@@ -76,9 +76,9 @@
     // Error responses to callers, indexed by error kind.
     std::array<core::counter, core::error_kind_count> refused{};
     latency_histogram latency;
-    // Calls that were refused at this node because the queue of every worker
-    // would refuse them, and those that were offered nevertheless, so that the
-    // queues report their load.
+    // Calls that were refused at this node because the queues of all
+    // compared workers would refuse them, and those that were offered
+    // nevertheless, so that the queues report their load.
     counts_by_rank first_node_refusals;
     core::counter first_node_probes{0};
     // Calls that were refused because the memory of responses was used up.
