Stand-ins: Print the log of a node that is not ready in the cold worker test

The test failed once beside a soak because a node was not ready, and the log that would tell the reason was not printed.

--- a/stand_ins/tests/cold_worker_test.cpp
+++ b/stand_ins/tests/cold_worker_test.cpp
@@ -33,7 +33,9 @@
         start_nodes();
         for (std::size_t i = 0; i < size(); ++i)
         {
-            REQUIRE(wait_until_ready(i));
+            bool const is_ready = wait_until_ready(i);
+            INFO(log(i));
+            REQUIRE(is_ready);
             REQUIRE(wait_for_version(i, 2));
         }
     }
