Stand-ins: Reserve ports on all addresses

Cause: A port was reserved on 127.0.0.1, but the nodes of a deployment listen on addresses such as 127.1.0.2. The kernel therefore chose ports that another process already used there, and gave reserved ports to other sockets there. A node then exited with "Address already in use" and was reported as not ready. Two kinds of sockets were found to have this effect: those of a node that a test program left behind when a signal ended it, and closed outgoing connections that were bound to 127.1.0.1 (in TIME_WAIT for 60 s, from an experiment; no program of this repository binds outgoing connections).

Change: The reservation is bound to all addresses. The kernel then chooses no port that is in use on any address, and gives a reserved port to no other socket. port_reservation::endpoint() was not used and is removed.

--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -133,8 +133,8 @@
 
     std::string directory_;
     std::string additional_settings_;
-    // The kernel has chosen each port as free on 127.0.0.1. Every VM uses the
-    // same ports on its own address.
+    // The kernel has chosen each port as free on all addresses. Every VM uses
+    // the same ports on its own address.
     std::vector<port_reservation> ports_;
     std::unique_ptr<fake_store> store_;
     std::vector<vm_state> vms_;
--- a/stand_ins/port_reservation.cpp
+++ b/stand_ins/port_reservation.cpp
@@ -1,4 +1,4 @@
-// Binds a socket to a loopback port that the kernel chooses.
+// Binds a socket to a port that the kernel chooses.
 #include "stand_ins/port_reservation.hpp"
 
 #include <cerrno>
@@ -34,7 +34,11 @@
     }
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    // With one address, such as 127.0.0.1, the kernel may choose a port on
+    // which a process listens at another loopback address, for example a node
+    // that a killed test program has left behind. It may also choose the port
+    // for another socket that is bound there.
+    address.sin_addr.s_addr = htonl(INADDR_ANY);
     socklen_t size = sizeof address;
     if (::bind(socket_, as_sockaddr(address), size) != 0 ||
         ::getsockname(socket_, as_sockaddr(address), &size) != 0)
@@ -62,9 +66,4 @@
     : socket_(std::exchange(other.socket_, -1)), port_(other.port_)
 {}
 
-core::endpoint port_reservation::endpoint() const
-{
-    return {core::ip_address("127.0.0.1"), port_};
-}
-
 } // namespace yuccafall::stand_ins
--- a/stand_ins/port_reservation.hpp
+++ b/stand_ins/port_reservation.hpp
@@ -6,10 +6,11 @@
 
 namespace yuccafall::stand_ins {
 
-// Reserves a loopback port, which the kernel chooses, for the lifetime of the
-// object. The object's socket is bound but does not listen. A process that sets
-// SO_REUSEADDR, as Asio's acceptors do, can therefore listen on the port, while
-// the kernel does not choose the port for any other socket.
+// Reserves a port, which the kernel chooses, for the lifetime of the object.
+// The object's socket is bound to the port on all addresses but does not
+// listen. A process that sets SO_REUSEADDR, as Asio's acceptors do, can
+// therefore listen on the port of any loopback address, while the kernel does
+// not choose the port for any other socket.
 class port_reservation
 {
 public:
@@ -22,7 +23,6 @@
     port_reservation& operator=(port_reservation&&) = delete;
 
     core::port_number port() const { return port_; }
-    core::endpoint endpoint() const;
 
 private:
     int socket_ = -1;
