Stand-ins: Print the state of a node that is not ready wherever a test waits

Cause: Two of the six places that wait for a node printed its log if it was not ready, and none said whether its process still ran.

Change: wait_until_ready() and wait_for_version() print, after their unchanged limit of 10 s, whether the process runs or its exit status, its CPU time, the number of responses requested, the last response, the number of requests at the store, and the log. The tests that printed the log themselves no longer do.

--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -274,14 +274,42 @@
     return false;
 }
 
+void deployment::report_node(std::size_t vm, std::string const& expected,
+                             std::size_t polls, call_result const& last) const
+{
+    auto const& node = vms_[vm].node;
+    std::string process = "was not started";
+    if (node)
+    {
+        auto const status = node->wait_for(core::milliseconds(0));
+        process = status ? fmt::format("has exited with status {}", *status)
+                         : fmt::format("runs and has used {} ms of CPU time",
+                                       node->cpu_time().count());
+    }
+    fmt::print(stderr,
+               "node {} was not {} within {} s; responses requested: {}; "
+               "status of the last one: {}; its body: \"{}\"; requests at the "
+               "store: {}; the process {}; its log:\n{}\n",
+               vm, expected, poll_timeout.count(), polls, last.status,
+               last.body, store_->request_count(), process, log(vm));
+}
+
 bool deployment::wait_until_ready(std::size_t vm)
 {
-    return poll_until([&] {
-        return send_request(readiness_endpoint(vm),
-                            request("/v1/ready", "ready"),
-                            core::milliseconds(500))
-                   .status == 200;
+    std::size_t polls = 0;
+    call_result last;
+    bool const is_ready = poll_until([&] {
+        ++polls;
+        last =
+            send_request(readiness_endpoint(vm), request("/v1/ready", "ready"),
+                         core::milliseconds(500));
+        return last.status == 200;
     });
+    if (!is_ready)
+    {
+        report_node(vm, "ready", polls, last);
+    }
+    return is_ready;
 }
 
 bool deployment::wait_until_running(std::size_t vm)
@@ -296,14 +324,21 @@
 
 bool deployment::wait_for_version(std::size_t vm, std::uint64_t version)
 {
-    return poll_until([&] {
-        auto const it =
-            send_request(admin_endpoint(vm), request("/status", "status"),
-                         core::milliseconds(500));
-        auto const body = json::parse(it.body, nullptr, false);
+    std::size_t polls = 0;
+    call_result last;
+    bool const is_applied = poll_until([&] {
+        ++polls;
+        last = send_request(admin_endpoint(vm), request("/status", "status"),
+                            core::milliseconds(500));
+        auto const body = json::parse(last.body, nullptr, false);
         return body.is_object() &&
                body.value("version", std::uint64_t{0}) >= version;
     });
+    if (!is_applied)
+    {
+        report_node(vm, fmt::format("at version {}", version), polls, last);
+    }
+    return is_applied;
 }
 
 call_result deployment::call(std::size_t vm, http::request const& it,
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -93,7 +93,8 @@
     core::endpoint readiness_endpoint(std::size_t vm) const;
     std::string log(std::size_t vm) const;
 
-    // Waits until the node is ready. Returns false after ten seconds.
+    // Waits until the node is ready. Returns false after ten seconds. The state
+    // and the log of the node are then printed to the standard error.
     bool wait_until_ready(std::size_t vm);
     // Waits until the worker has begun to run a request. Returns false after
     // ten seconds.
@@ -102,7 +103,7 @@
     // seconds.
     bool wait_for_log(std::size_t vm, std::string const& text);
     // Waits until the node has applied the version or a newer one. Returns
-    // false after ten seconds.
+    // false after ten seconds, as wait_until_ready() does.
     bool wait_for_version(std::size_t vm, std::uint64_t version);
 
     // Sends a request to the node as a caller does, and states the timeout in
@@ -130,6 +131,10 @@
 
     std::string make_settings(std::size_t vm) const;
     bool poll_until(std::function<bool()> const& condition);
+    // Prints what the node was not, the last of the responses that said so,
+    // whether the node's process runs, and the node's log.
+    void report_node(std::size_t vm, std::string const& expected,
+                     std::size_t polls, call_result const& last) const;
 
     std::string directory_;
     std::string additional_settings_;
--- a/stand_ins/overload/tests/overload_test.cpp
+++ b/stand_ins/overload/tests/overload_test.cpp
@@ -117,9 +117,7 @@
         }
         for (std::size_t i = 0; i < size(); ++i)
         {
-            bool const ready = wait_until_ready(i);
-            INFO(log(i));
-            REQUIRE(ready);
+            REQUIRE(wait_until_ready(i));
             REQUIRE(wait_for_version(i, 2));
         }
         check_ordinary_request(front, "/look/first");
--- a/stand_ins/tests/cold_worker_test.cpp
+++ b/stand_ins/tests/cold_worker_test.cpp
@@ -33,9 +33,7 @@
         start_nodes();
         for (std::size_t i = 0; i < size(); ++i)
         {
-            bool const is_ready = wait_until_ready(i);
-            INFO(log(i));
-            REQUIRE(is_ready);
+            REQUIRE(wait_until_ready(i));
             REQUIRE(wait_for_version(i, 2));
         }
     }
