Node, Core: Let states above the memory limit wait for each other

The complete state of 5,500 workers (13 MB) is larger than the memory of control frames on VMs of less than about 210 MB. A frame above the limit closed the connections of all other nodes for which frames were held, and long changes to another node closed its connection. Two nodes that requested the state at the same time ended each other's transfer again and again.

node/deferred_changes decides when long changes may be sent. A frame above the limit waits until nothing else is held, and long changes to other nodes wait while one is sent or waits. Nothing is held for a link that waits: its frame is dropped, and when it is its turn, the replicator gets the pull of the last revision that the other node has stated. A receiver without progress still loses its connection after 2 s (TCP_USER_TIMEOUT) or 10 s (write timeout). Frames within the limit are sent as before. The delay between two checks for slow holders moves to core/memory_part, since two components use it.

--- a/src/core/memory_part.cpp
+++ b/src/core/memory_part.cpp
@@ -18,6 +18,15 @@
 // that takes nothing falls below it after one second.
 constexpr bytes_per_second slow_rate{32UL * 1024};
 
+// Shortest time between two checks whether a slow holder can be ended in favour
+// of data that waits for room. It limits the checks if a reader's rate stays
+// near the one that counts as slow.
+constexpr milliseconds min_slow_check_delay{100};
+
+// Data that waits for room checks again for slow holders after this long at the
+// latest. One that begins to hold memory meanwhile is slow no sooner.
+constexpr milliseconds max_slow_check_delay{1'000};
+
 // Returns bytes per second.
 double average_rate(transfer_progress const& it, instant now)
 {
@@ -141,6 +150,17 @@
     return true;
 }
 
+std::optional<duration> slow_check_delay(memory_part const& it, instant now)
+{
+    auto const at = it.next_slow_holder_at();
+    if (!at)
+    {
+        return {};
+    }
+    return std::clamp<duration>(*at - now, min_slow_check_delay,
+                                max_slow_check_delay);
+}
+
 held_memory::~held_memory()
 {
     release();
--- a/src/core/memory_part.hpp
+++ b/src/core/memory_part.hpp
@@ -108,6 +108,10 @@
     std::list<held_memory*> waiters_;
 };
 
+// Returns how long data that waits for room waits before it checks again
+// whether a slow holder can be ended. Empty if there is no holder.
+std::optional<duration> slow_check_delay(memory_part const& it, instant now);
+
 // Counts bytes in a part as long as the object exists. Without a part, it only
 // stores the size.
 class held_memory
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "core/log.hpp"
+#include "core/overloaded.hpp"
 #include "poison/codec.hpp"
 #include "replication/codec.hpp"
 
@@ -49,7 +50,9 @@
                              event_handler on_event,
                              poison_notice_handler on_poison_notice)
     : context_(context), link_options_(link_options(std::move(memory))),
-      timer_(context), on_event_(std::move(on_event)),
+      timer_(context), deferred_(link_options_.memory),
+      room_waiter_(link_options_.memory), room_timer_(context),
+      on_event_(std::move(on_event)),
       on_poison_notice_(std::move(on_poison_notice))
 {}
 
@@ -217,6 +220,7 @@
             fail(message.error());
             return;
         }
+        record_revision(link, *message);
         on_event_(replication::message_received{link, std::move(*message)});
         return;
     }
@@ -256,6 +260,7 @@
 void control_links::on_link_lost(link_id link)
 {
     links_.erase(link);
+    deferred_.remove(link);
     for (auto& [to, it] : sources_)
     {
         if (it.link == link)
@@ -271,17 +276,88 @@
 void control_links::send(link_id to, replication::message const& it)
 {
     auto const found = links_.find(to);
-    if (found != links_.end())
+    if (found == links_.end())
+    {
+        return;
+    }
+    auto const* set = std::get_if<replication::changes>(&it);
+    // The changes that are collected when there is room include these.
+    if (set != nullptr && deferred_.is_waiting(to))
+    {
+        return;
+    }
+    auto frame =
+        static_cast<char>(frame_type::replication) + replication::encode(it);
+    core::byte_count const size(frame.size() + transport::frame_header_size);
+    if (set != nullptr && size > transport::max_unpaced_message &&
+        !deferred_.admit({to, set->set.base, size}, core::boot_clock::now()))
+    {
+        wait_for_room();
+        return;
+    }
+    found->second->send(std::move(frame));
+}
+
+void control_links::record_revision(link_id link,
+                                    replication::message const& it)
+{
+    std::visit(core::overloaded{[&](replication::digest const& m) {
+                                    deferred_.set_base(link, m.as_of);
+                                },
+                                [&](replication::pull const& m) {
+                                    deferred_.set_base(link, m.as_of);
+                                },
+                                [](replication::changes const&) {}},
+               it);
+}
+
+void control_links::send_deferred_changes()
+{
+    while (auto const next = deferred_.take_next(core::boot_clock::now()))
+    {
+        on_event_(replication::message_received{next->link,
+                                                replication::pull{next->base}});
+    }
+    wait_for_room();
+}
+
+void control_links::wait_for_room()
+{
+    auto const needed = deferred_.needed();
+    if (stopped_ || !needed)
     {
-        found->second->send(static_cast<char>(frame_type::replication) +
-                            replication::encode(it));
+        return;
     }
+    auto const check = [weak = weak_from_this()] {
+        if (auto const self = weak.lock(); self && !self->stopped_)
+        {
+            self->send_deferred_changes();
+        }
+    };
+    room_waiter_.wait_for_room(*needed, [&context = context_, check] {
+        boost::asio::post(context, check);
+    });
+    auto const delay =
+        core::slow_check_delay(*link_options_.memory, core::boot_clock::now());
+    if (!delay)
+    {
+        return;
+    }
+    room_timer_.expires_after(*delay);
+    room_timer_.async_wait([check](boost::system::error_code const& ec) {
+        if (!ec)
+        {
+            check();
+        }
+    });
 }
 
 void control_links::stop()
 {
     stopped_ = true;
     timer_.cancel();
+    room_timer_.cancel();
+    room_waiter_.stop_waiting();
     acceptor_->close([] {});
     for (auto const& [link, it] : links_)
     {
--- a/src/node/control_links.hpp
+++ b/src/node/control_links.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "core/memory_part.hpp"
+#include "node/deferred_changes.hpp"
 #include "poison/suspect_list.hpp"
 #include "replication/replicator.hpp"
 #include "transport/frame_acceptor.hpp"
@@ -42,6 +43,10 @@
     // new sources and closes those to nodes that are no longer sources.
     void set_sources(std::set<core::endpoint> const& sources);
 
+    // Long changes are dropped while they must wait for a frame above the limit
+    // of the memory, or are such a frame and others are held. When it is their
+    // turn, the event handler gets the other node's pull (again), so that it
+    // sends the changes that are then missing.
     void send(replication::link_id to, replication::message const& it);
     void send(replication::link_id to, poison::notice const& it);
     // Sends the notice to all connected nodes.
@@ -65,10 +70,20 @@
     void on_frame(replication::link_id link, std::string const& frame);
     void on_link_lost(replication::link_id link);
     void connect_due_sources();
+    // Records which revision the other node has, if its changes wait for room.
+    void record_revision(replication::link_id link,
+                         replication::message const& it);
+    void send_deferred_changes();
+    void wait_for_room();
 
     boost::asio::io_context& context_;
     transport::connection_options link_options_;
     boost::asio::steady_timer timer_;
+    deferred_changes deferred_;
+    // Waits for room for the first deferred changes. Holds none.
+    core::held_memory room_waiter_;
+    // Runs while changes wait for room, until a slow node can be closed.
+    boost::asio::steady_timer room_timer_;
     event_handler on_event_;
     poison_notice_handler on_poison_notice_;
     std::shared_ptr<transport::frame_acceptor> acceptor_;
--- a/src/transport/frame_connection_memory.cpp
+++ b/src/transport/frame_connection_memory.cpp
@@ -12,19 +12,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-namespace {
-
-// Shortest time between two checks whether a slow peer can be closed in favour
-// of a frame that waits for memory. It limits the checks if a peer's rate stays
-// near the one that counts as slow.
-constexpr core::milliseconds min_slow_check_delay{100};
-
-// A frame that waits for room checks again for slow peers after this long at
-// the latest. A peer that begins to hold memory meanwhile is slow no sooner.
-constexpr core::milliseconds max_slow_check_delay{1'000};
-
-} // namespace
-
 void frame_connection::count_memory()
 {
     if (!options_.memory || !open_)
@@ -160,12 +147,11 @@
         reserved_frame_.wait_for_room(needed, notify);
     }
     room_timer_.expires_at(asio::steady_timer::time_point::max());
-    auto const next_check = options_.memory->next_slow_holder_at();
-    if (next_check)
+    auto const delay =
+        core::slow_check_delay(*options_.memory, core::boot_clock::now());
+    if (delay)
     {
-        room_timer_.expires_after(std::clamp<core::duration>(
-            *next_check - core::boot_clock::now(), min_slow_check_delay,
-            max_slow_check_delay));
+        room_timer_.expires_after(*delay);
     }
     // As a pending read does, the timer keeps the connection alive.
     room_timer_.async_wait([self = shared_from_this()](error_code const& ec) {
