Node, Http: Bound the requests at the readiness endpoint

The readiness endpoint took bodies of 64 MB, of which 48 MB were held beside the memory account. 64 connections that never completed a body kept out the platform's check for as long as they sent some bytes every 3 s.

node/readiness_server takes the endpoint out of run_node. Bodies end at 16 KB (413). Requests count in a memory part of their own (1/128 of memory_mb), and the number of connections, 2 to 64, follows from it, so that each has room for its largest request. A new server setting lets connections within a request give way to new ones; only this endpoint sets it. Metrics do not list the part.

--- a/src/core/memory_account.hpp
+++ b/src/core/memory_account.hpp
@@ -25,6 +25,8 @@
     std::shared_ptr<memory_part> control_frames;
     // Requests and responses of operators.
     std::shared_ptr<memory_part> operators;
+    // Requests at the readiness endpoint.
+    std::shared_ptr<memory_part> readiness;
 };
 
 } // namespace yuccafall::core
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -114,12 +114,13 @@
 
 // A connection on which no request has been made goes first, since callers
 // expect a connection that they have used to stay open. One that sends its
-// first request goes last, since its caller may be about to complete it.
+// first request goes after these, since its caller may be about to complete it.
 bool server::close_idle_connection()
 {
-    auto const& from = !idle_without_request_.empty() ? idle_without_request_
-                       : !idle_after_request_.empty() ? idle_after_request_
-                                                      : receiving_first_head_;
+    auto const& from = !idle_without_request_.empty()   ? idle_without_request_
+                       : !idle_after_request_.empty()   ? idle_after_request_
+                       : !receiving_first_head_.empty() ? receiving_first_head_
+                                                        : busy_;
     if (from.empty())
     {
         return false;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -95,6 +95,8 @@
     std::list<server_connection*> idle_without_request_;
     std::list<server_connection*> idle_after_request_;
     std::list<server_connection*> receiving_first_head_;
+    // All others, if busy connections give way.
+    std::list<server_connection*> busy_;
     std::shared_ptr<connection_counters> counters_ =
         std::make_shared<connection_counters>();
     core::instant last_request_received_at_{};
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -51,6 +51,7 @@
 
 server_connection::~server_connection()
 {
+    open_ = false;
     phase_ = phase::closing;
     update_list();
     set_counts_as_open(false);
@@ -82,6 +83,10 @@
     {
         to = &server_->receiving_first_head_;
     }
+    else if (open_ && server_->settings_.busy_connections_give_way)
+    {
+        to = &server_->busy_;
+    }
     to->splice(to->end(), *list_, list_position_);
     list_ = to;
 }
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -130,8 +130,8 @@
     core::instant body_window_start_{};
     std::size_t body_size_at_window_start_ = 0;
     // Invariant: list_ is one of the server's lists while the connection is
-    // idle or receives the head of its first request, and own_list_ at other
-    // times.
+    // idle or receives the head of its first request, and, if busy connections
+    // give way, as long as it is open. It is own_list_ at other times.
     std::list<server_connection*> own_list_{this};
     std::list<server_connection*>::iterator list_position_ = own_list_.begin();
     std::list<server_connection*>* list_ = &own_list_;
--- a/src/http/server_settings.hpp
+++ b/src/http/server_settings.hpp
@@ -24,6 +24,10 @@
     // When this many connections are open, an idle one is closed for each new
     // one.
     core::connection_count max_connections{2'000};
+    // If no connection is idle, one within a request or a response is closed
+    // for a new one: the one that has received no part of a request and begun
+    // no response for longest.
+    bool busy_connections_give_way = false;
     // Counts the memory that requests take, including those that are still
     // arriving. A request that has no room is rejected, and the rest of it is
     // not kept.
--- a/src/node/resource_limits.cpp
+++ b/src/node/resource_limits.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t control_frame_memory_divisor = 16;
 // Operators' requests have no bodies, and the longest response lists all nodes.
 constexpr std::uint64_t operator_memory_divisor = 64;
+// Has room for the requests of all readiness connections.
+constexpr std::uint64_t readiness_memory_divisor = 128;
 constexpr std::uint64_t response_memory_divisor = 4;
 constexpr std::uint64_t worker_memory_divisor = 5;
 // Largest response of a worker as a share of the memory limit. A worker runs
@@ -47,6 +49,12 @@
 // Operators' tools and the nodes that collect the status of all nodes open one
 // connection each.
 constexpr std::uint64_t max_operator_connections = 256;
+// The platform's checks need one or two.
+constexpr std::uint64_t min_readiness_connections = 2;
+constexpr std::uint64_t max_readiness_connections = 64;
+// The most that a readiness connection holds: a head, a body and what is read
+// ahead, of 16 kB each, and one read of 8 kB.
+constexpr std::uint64_t readiness_connection_size = 56UL * 1024;
 
 core::byte_count share_of(core::byte_count memory, std::uint64_t divisor)
 {
@@ -89,6 +97,11 @@
         limited(sockets * session_descriptors / 100, max_sessions);
     out.operator_connections =
         limited(sockets * operator_descriptors / 100, max_operator_connections);
+    out.readiness_memory = share_of(it.memory_limit, readiness_memory_divisor);
+    out.readiness_connections = limited(
+        std::max(out.readiness_memory.value() / readiness_connection_size,
+                 min_readiness_connections),
+        max_readiness_connections);
     return out;
 }
 
@@ -104,6 +117,7 @@
     out.frames = make_part(it.frame_memory, it.frame_reserve);
     out.control_frames = make_part(it.control_frame_memory);
     out.operators = make_part(it.operator_memory);
+    out.readiness = make_part(it.readiness_memory);
     return out;
 }
 
--- a/src/node/resource_limits.hpp
+++ b/src/node/resource_limits.hpp
@@ -23,12 +23,15 @@
     core::byte_count control_frame_memory;
     // Requests and responses of operators.
     core::byte_count operator_memory;
+    // Requests at the readiness endpoint.
+    core::byte_count readiness_memory;
     // Largest response of a worker.
     core::byte_count max_response;
     core::connection_count caller_connections;
     // Connections that other nodes open for calls.
     core::connection_count peer_sessions;
     core::connection_count operator_connections;
+    core::connection_count readiness_connections;
 };
 
 // The second argument is the number of descriptors that the operating system
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -21,6 +21,7 @@
 #include "http/server.hpp"
 #include "node/control_plane.hpp"
 #include "node/drain_schedule.hpp"
+#include "node/readiness_server.hpp"
 #include "node/settings.hpp"
 #include "node/traffic_plane.hpp"
 #include "platform/headers.hpp"
@@ -33,10 +34,6 @@
 
 constexpr core::milliseconds drain_poll_interval{100};
 
-// The platform's checks need one or two; the descriptors of others are left to
-// callers and nodes.
-constexpr core::connection_count max_readiness_connections{64};
-
 // Larger blocks are returned to the operating system as soon as they are freed.
 // With the default, which adapts to the sizes in use, the process keeps the
 // memory of long responses that have been ended.
@@ -79,25 +76,16 @@
         {
             return started;
         }
-        auto readiness_server = http::server::listen(
-            context_, settings_.readiness,
-            [this](std::shared_ptr<http::server_connection> const& connection,
-                   http::request const&) {
-                connection->send_response(readiness());
-            },
-            [](core::error const& reason) {
-                http::response it;
-                it.status = core::error_kind_info_for(reason.kind).http_status;
-                return it;
-            });
+        auto readiness_server =
+            listen_for_readiness(context_, settings_.readiness,
+                                 {traffic_.limits().readiness_connections,
+                                  traffic_.memory().readiness},
+                                 [this] { return is_ready(); });
         if (!readiness_server)
         {
             return tl::unexpected(readiness_server.error());
         }
         readiness_server_ = std::move(*readiness_server);
-        auto readiness_settings = readiness_server_->settings();
-        readiness_settings.max_connections = max_readiness_connections;
-        readiness_server_->set_settings(readiness_settings);
         control_ = std::make_shared<control_plane>(
             context_, settings_, traffic_.memory().control_frames,
             [this](std::shared_ptr<ingress::traffic_view const> view) {
@@ -140,12 +128,9 @@
         return it;
     }
 
-    http::response readiness() const
+    bool is_ready() const
     {
-        bool const ready = control_ && control_->is_ready() && !drain_;
-        http::response it;
-        it.status = ready ? 200 : 503;
-        return it;
+        return control_ && control_->is_ready() && !drain_;
     }
 
     void wait_for_signal()
--- a/src/node/tests/resource_limits_test.cpp
+++ b/src/node/tests/resource_limits_test.cpp
@@ -69,10 +69,29 @@
     REQUIRE(it.frame_reserve > it.max_response);
     REQUIRE(total + it.frame_reserve.value() <= 160UL * 1024 * 1024);
     REQUIRE(total + it.control_frame_memory.value() +
-                it.operator_memory.value() <=
+                it.operator_memory.value() + it.readiness_memory.value() <=
             160UL * 1024 * 1024);
 }
 
+// Guards against readiness connections that exceed their memory together, so
+// that the platform's check is refused.
+TEST_CASE("all readiness connections have room for their largest requests")
+{
+    constexpr std::uint64_t head_and_body = 32UL * 1024;
+    for (std::uint64_t const memory_mb : {16, 96, 160, 260, 10'000})
+    {
+        CAPTURE(memory_mb);
+        auto const it = limits_for(with_limits(memory_mb, 0), many);
+        auto const connections = it.readiness_connections.value();
+        REQUIRE(connections >= 2);
+        REQUIRE(connections <= 64);
+        REQUIRE(connections * head_and_body <= it.readiness_memory.value());
+    }
+    REQUIRE(
+        limits_for(with_limits(160, 0), many).readiness_connections.value() ==
+        22);
+}
+
 // Guards against one kind of data that takes the memory of another.
 TEST_CASE("control frames have a part of their own")
 {
