Stand-ins: Test a worker that does not read its requests

In fact a request to such a worker ends 2 s after its last progress, by TCP_USER_TIMEOUT.

In the new case of the overload test, the kernel accepts connections for a worker and receives a few kB on each, and nothing reads them. 40 clients at each of two nodes send 900 kB each. The nodes stay within memory_mb, and an ordinary request is answered after the worker is back. Cases and bounds that exist are unchanged.

--- a/stand_ins/overload/tests/overload_test.cpp
+++ b/stand_ins/overload/tests/overload_test.cpp
@@ -276,6 +276,46 @@
     std::vector<raw_client> clients_;
 };
 
+// Takes the place of a worker. The kernel accepts connections for it and
+// receives as much as fits its buffer, of which it reads nothing.
+class worker_that_does_not_read
+{
+public:
+    explicit worker_that_does_not_read(core::endpoint const& at)
+        : acceptor_(context_)
+    {
+        acceptor_.open(tcp::v4());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.set_option(
+            boost::asio::socket_base::receive_buffer_size(4096));
+        acceptor_.bind({boost::asio::ip::make_address_v4(at.address.value()),
+                        at.port.value()});
+        acceptor_.listen();
+        acceptor_.non_blocking(true);
+    }
+
+    // Returns how many connections there have been on which a request has
+    // arrived, in whole or in part. Must be called once.
+    std::size_t count_requests()
+    {
+        std::size_t total = 0;
+        error_code ec;
+        while (true)
+        {
+            auto const it = acceptor_.accept(ec);
+            if (ec)
+            {
+                return total;
+            }
+            total += it.available(ec) > 0 ? 1 : 0;
+        }
+    }
+
+private:
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+};
+
 } // namespace
 
 // Guards against long responses that a node holds without limit for clients
@@ -394,3 +434,35 @@
     WARN(refused.size() << " requests were refused");
     fleet.check_nodes();
 }
+
+// Guards against requests that a node holds without limit for a worker that
+// does not read them.
+TEST_CASE("a worker that reads no request does not take up the memory")
+{
+    // Less than the configuration allows, and more than the kernel takes for a
+    // worker that reads nothing.
+    constexpr std::size_t long_request = 900'000;
+    auto const request =
+        fmt::format("POST /look/x HTTP/1.1\r\nHost: shop.example\r\n"
+                    "Content-Length: {}\r\n\r\n",
+                    long_request) +
+        std::string(long_request, 'x');
+    small_deployment fleet;
+    fleet.worker(desk).crash();
+    {
+        worker_that_does_not_read silent(fleet.worker(desk).local());
+        crowd beside_worker(fleet.caller_endpoint(desk), crowd_size);
+        crowd at_other_node(fleet.caller_endpoint(front), crowd_size);
+        beside_worker.for_each([&](raw_client& it) { it.send(request); });
+        at_other_node.for_each([&](raw_client& it) { it.send(request); });
+        fleet.check_nodes();
+        // Meanwhile the calls of all clients end.
+        beside_worker.for_each([](raw_client& it) { it.read(1); });
+        at_other_node.for_each([](raw_client& it) { it.read(1); });
+        fleet.check_nodes();
+        CHECK(silent.count_requests() > 0);
+    }
+    fleet.worker(desk).restart();
+    fleet.check_ordinary_request(front, "/look/ordinary");
+    fleet.check_nodes();
+}
