Upstream: Move the table of calls out of worker_owner

worker_owner kept two maps and a counter for the calls of the sessions beside its other state, and five functions kept the maps consistent. call_table owns them now, with the keys that tell calls of different sessions apart.

No behaviour changes. test_upstream passes.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -145,7 +145,6 @@
     core::add(counters_->offers);
     auto const now = core::boot_clock::now();
     load_publisher_->subscribe(from, reply, offer.upstream, now);
-    call_key const key{core::incarnation(0), ++last_call_key_};
     call_entry call;
     call.session = from;
     call.offer = std::move(offer);
@@ -174,7 +173,6 @@
     update_rate(call.offer.upstream, call.offer.rate, rate_source::offer);
     warm_up_->record_offer(call.offer.warm_up);
     admission::job job;
-    job.call = key;
     job.route = call.offer.route;
     job.rank = call.offer.rank;
     job.nested = call.offer.nested;
@@ -187,32 +185,27 @@
         job.body_size = call.offer.body_size;
     }
     job.link_backlog = link_backlog();
-    call_keys_.emplace(std::pair(from, call.offer.call), key);
-    calls_.emplace(key, std::move(call));
+    job.call = calls_.add(std::move(call));
     handle_event(admission::call_offered{job});
 }
 
 void worker_owner::on(session_id from, peers::body_data& it)
 {
-    auto const found = call_keys_.find({from, it.call});
-    if (found == call_keys_.end())
+    auto const key = calls_.find_key(from, it.call);
+    if (!key)
     {
         return;
     }
-    auto const key = found->second;
-    calls_.at(key).offer.http_request.body = std::move(it.bytes);
-    handle_event(admission::body_arrived{key});
+    calls_.at(*key).offer.http_request.body = std::move(it.bytes);
+    handle_event(admission::body_arrived{*key});
 }
 
 void worker_owner::on(session_id from, peers::cancel const& it)
 {
-    auto const found = call_keys_.find({from, it.call});
-    if (found == call_keys_.end())
+    if (auto const key = calls_.find_key(from, it.call))
     {
-        return;
+        cancel(*key, calls_.at(*key));
     }
-    auto const key = found->second;
-    cancel(key, calls_.at(key));
 }
 
 // A running call that is not idempotent is left to finish. If it were aborted,
@@ -223,14 +216,14 @@
     call.canceled = true;
     if (pending_starts_->remove(key))
     {
-        remove_unsent(key);
+        calls_.remove(key);
         handle_event(admission::run_ended{
             key, admission::run_result::incomplete, core::byte_count(0)});
         return;
     }
     if (!call.run)
     {
-        remove_unsent(key);
+        calls_.remove(key);
         handle_event(admission::call_canceled{key});
         return;
     }
@@ -240,33 +233,15 @@
     }
 }
 
-worker_owner::call_entry worker_owner::remove_unsent(call_key const& key)
-{
-    auto const found = calls_.find(key);
-    auto out = std::move(found->second);
-    calls_.erase(found);
-    call_keys_.erase({out.session, out.offer.call});
-    return out;
-}
-
 void worker_owner::on_session_closed(session_id closed_session)
 {
     load_publisher_->unsubscribe(closed_session);
-    std::vector<call_key> keys;
-    for (auto const& [session_call, key] : call_keys_)
-    {
-        if (session_call.first == closed_session)
-        {
-            keys.push_back(key);
-        }
-    }
-    for (auto const& key : keys)
+    for (auto const& key : calls_.calls_of(closed_session))
     {
         // The slot of a call that is canceled may let the queue refuse others.
-        auto const found = calls_.find(key);
-        if (found != calls_.end())
+        if (auto* const call = calls_.find(key))
         {
-            cancel(key, found->second);
+            cancel(key, *call);
         }
     }
 }
@@ -352,7 +327,7 @@
 
 void worker_owner::refuse_pending_start(call_key const& key, error_kind kind)
 {
-    auto const call = remove_unsent(key);
+    auto const call = calls_.remove(key);
     handle_event(admission::run_ended{key, admission::run_result::incomplete,
                                       core::byte_count(0)});
     refuse(call, kind, {}, false);
@@ -401,7 +376,7 @@
 
 void worker_owner::apply(admission::refuse_call const& it)
 {
-    auto const call = remove_unsent(it.call);
+    auto const call = calls_.remove(it.call);
     if (it.due_to_cold_rate)
     {
         core::add(counters_->cold_refused);
@@ -503,10 +478,7 @@
 
 void worker_owner::on_run_ended(call_key const& key, worker_outcome outcome)
 {
-    auto const found = calls_.find(key);
-    auto call = std::move(found->second);
-    calls_.erase(found);
-    call_keys_.erase({call.session, call.offer.call});
+    auto call = calls_.remove(key);
     local_runs_->record_end(call.offer.is_repeat);
     // The end of this run may start other calls, which must not go to a worker
     // that counts as warm if this run shows that it may be another one.
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -11,9 +11,7 @@
 #define YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
@@ -27,6 +25,7 @@
 #include "poison/crash_detector.hpp"
 #include "retries/local_runs.hpp"
 #include "transport/paced_link.hpp"
+#include "upstream/call_table.hpp"
 #include "upstream/counters.hpp"
 #include "upstream/load_publisher.hpp"
 #include "upstream/local_workers.hpp"
@@ -36,9 +35,6 @@
 
 namespace yuccafall::upstream {
 
-using peers::reply_function;
-using session_id = peers::session_id;
-
 struct worker_owner_settings
 {
     core::endpoint worker_endpoint;
@@ -104,26 +100,6 @@
     balancing::load_report load() const;
 
 private:
-    // A call that waits, is about to be sent to the worker, or runs.
-    struct call_entry
-    {
-        session_id session;
-        peers::offer offer;
-        reply_function reply;
-        core::instant deadline;
-        poison::fingerprint fingerprint;
-        // Empty until the call is sent to the worker.
-        std::optional<worker_run> run;
-        core::instant started_at{};
-        bool canceled = false;
-        // The worker does not have the call, and no response will come.
-        bool lost = false;
-    };
-    // Identifies a call within this class. Each offer gets a new key, so that
-    // calls are told apart even if two sessions use the same call id by
-    // mistake.
-    using call_key = core::call_id;
-
     void on(session_id from, peers::offer& offer, reply_function reply);
     void on(session_id from, peers::body_data& it);
     void on(session_id from, peers::cancel const& it);
@@ -151,8 +127,6 @@
     // that the queue has started but that have not been sent to the worker.
     void start_refusing(core::error_kind kind);
     void refuse_pending_start(call_key const& key, core::error_kind kind);
-    // Removes a call that has not been sent to the worker.
-    call_entry remove_unsent(call_key const& key);
     // Records whether the worker turned a call away or left it without a
     // response.
     void update_rejection_share(bool rejected);
@@ -177,10 +151,7 @@
     admission::slot_queue queue_;
     std::shared_ptr<worker_warm_up> warm_up_;
     local_workers workers_;
-    std::map<call_key, call_entry> calls_;
-    // Maps the call id that a session uses to the key of the call.
-    std::map<std::pair<session_id, core::call_id>, call_key> call_keys_;
-    std::uint64_t last_call_key_ = 0;
+    call_table calls_;
     // Invariant: each of these calls is in calls_, has no run, and holds a slot
     // of queue_.
     std::shared_ptr<pending_starts> pending_starts_;
