--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -20,9 +20,6 @@
 // before the connection is closed.
 constexpr core::milliseconds worker_timeout_grace{300};
 
-// Offers are refused for this long after the worker has refused a connection.
-constexpr core::milliseconds unreachable_backoff{250};
-
 // A run that ends without a response after this multiple of its usual time
 // counts against the worker, whoever ended it.
 constexpr int overdue_ratio = 3;
@@ -150,24 +147,10 @@
     call.offer = std::move(offer);
     call.reply = std::move(reply);
     call.deadline = now + call.offer.deadline_remaining;
-    if (workers_.is_evacuated(call.offer.upstream))
+    if (auto const refusal =
+            availability_.refusal_of_offer(call.offer.upstream, now))
     {
-        refuse(call, error_kind::evacuated, {}, false);
-        return;
-    }
-    if (workers_.leaves(call.offer.upstream, now))
-    {
-        refuse(call, error_kind::leaving, {}, false);
-        return;
-    }
-    if (workers_.is_replaced(call.offer.upstream))
-    {
-        refuse(call, error_kind::wrong_upstream, {}, false);
-        return;
-    }
-    if (now < unreachable_until_)
-    {
-        refuse(call, error_kind::no_upstream, unreachable_backoff, false);
+        refuse(call, refusal->kind, refusal->retry_after, false);
         return;
     }
     update_rate(call.offer.upstream, call.offer.rate, rate_source::offer);
@@ -248,7 +231,7 @@
 
 void worker_owner::set_workers(std::vector<listed_worker> const& workers)
 {
-    workers_.set(workers);
+    availability_.set_workers(workers);
     warm_up_->set_workers(workers);
     for (auto const& it : workers)
     {
@@ -272,20 +255,14 @@
 
 void worker_owner::update_queue_draining()
 {
-    if (draining_)
-    {
-        return;
-    }
-    if (workers_.all_evacuated())
+    if (availability_.draining())
     {
-        start_refusing(error_kind::evacuated);
         return;
     }
-    // Calls that wait for a draining worker are refused, since another worker
-    // can run them sooner.
-    if (workers_.all_leave(core::boot_clock::now()))
+    if (auto const kind =
+            availability_.refusal_of_all_calls(core::boot_clock::now()))
     {
-        start_refusing(error_kind::leaving);
+        start_refusing(*kind);
         return;
     }
     handle_event(admission::drain_ended{});
@@ -293,24 +270,26 @@
 
 bool worker_owner::has_stated_leaving(core::upstream_id const& upstream) const
 {
-    return workers_.has_stated_leaving(upstream, core::boot_clock::now());
+    return availability_.workers().has_stated_leaving(upstream,
+                                                      core::boot_clock::now());
 }
 
 void worker_owner::record_leaving(core::upstream_id const& upstream)
 {
-    if (!workers_.record_leaving(upstream, core::boot_clock::now()))
+    if (!availability_.record_leaving(upstream, core::boot_clock::now()))
     {
         return;
     }
-    core::log_event(core::log_level::info, "worker_leaves",
-                    {{"upstream", upstream.value()},
-                     {"started", workers_.start_of(upstream).value()}});
+    core::log_event(
+        core::log_level::info, "worker_leaves",
+        {{"upstream", upstream.value()},
+         {"started", availability_.workers().start_of(upstream).value()}});
     update_queue_draining();
 }
 
 void worker_owner::start_draining()
 {
-    if (!std::exchange(draining_, true))
+    if (availability_.start_draining())
     {
         start_refusing(error_kind::leaving);
     }
@@ -620,7 +599,7 @@
     core::add(counters_->rejected_by_worker);
     if (outcome.metadata.wrong_worker)
     {
-        workers_.record_replaced(call.offer.upstream);
+        availability_.record_replaced(call.offer.upstream);
     }
     refuse(call,
            outcome.metadata.wrong_worker ? error_kind::wrong_upstream
@@ -634,11 +613,12 @@
     {
         return;
     }
-    unreachable_until_ = core::boot_clock::now() + unreachable_backoff;
+    availability_.record_unreachable(core::boot_clock::now());
     core::log_event(core::log_level::warning, "worker_unreachable",
                     {{"upstream", call.offer.upstream.value()},
                      {"reason", outcome.reason}});
-    refuse(call, error_kind::no_upstream, unreachable_backoff, false);
+    refuse(call, error_kind::no_upstream,
+           worker_availability::unreachable_backoff, false);
 }
 
 void worker_owner::check_for_crash(poison::fingerprint const& request)
@@ -659,7 +639,7 @@
             return;
         }
         auto const now = core::boot_clock::now();
-        self->unreachable_until_ = now + unreachable_backoff;
+        self->availability_.record_unreachable(now);
         for (auto const& it : self->crash_detector_.probe_failed(now))
         {
             core::log_event(
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -28,8 +28,8 @@
 #include "upstream/call_table.hpp"
 #include "upstream/counters.hpp"
 #include "upstream/load_publisher.hpp"
-#include "upstream/local_workers.hpp"
 #include "upstream/pending_starts.hpp"
+#include "upstream/worker_availability.hpp"
 #include "upstream/worker_client.hpp"
 #include "upstream/worker_warm_up.hpp"
 
@@ -150,7 +150,7 @@
     std::shared_ptr<worker_client> worker_client_;
     admission::slot_queue queue_;
     std::shared_ptr<worker_warm_up> warm_up_;
-    local_workers workers_;
+    worker_availability availability_;
     call_table calls_;
     // Invariant: each of these calls is in calls_, has no run, and holds a slot
     // of queue_.
@@ -164,10 +164,6 @@
     // Moving average of the share of calls that the worker rejected or left
     // without a response, from 0 to 1.
     double rejection_share_ = 0;
-    // Offers are refused before this time, because the worker has refused a
-    // connection.
-    core::instant unreachable_until_{};
-    bool draining_ = false;
     std::shared_ptr<counters> counters_;
     // Paces the long responses of this VM. Null if its bandwidth is not known.
     std::shared_ptr<transport::paced_link> link_;
