Upstream: Move the share of rejected calls to a type of its own

The moving average, its weight and the rule for runs without a response were spread over worker_owner. rejection_share owns the average and decides which runs count.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -20,13 +20,6 @@
 // before the connection is closed.
 constexpr core::milliseconds worker_timeout_grace{300};
 
-// A run that ends without a response after this multiple of its usual time
-// counts against the worker, whoever ended it.
-constexpr int overdue_ratio = 3;
-
-// Weight of a new sample in the moving average of rejected calls.
-constexpr double rejection_weight = 0.08;
-
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::chrono::duration_cast<core::milliseconds>(it);
@@ -61,6 +54,17 @@
         it);
 }
 
+run_end end_of(worker_outcome const& it)
+{
+    return std::visit(
+        core::overloaded{
+            [](worker_answered const&) { return run_end::answered; },
+            [](worker_rejected const&) { return run_end::rejected; },
+            [](worker_failed const&) { return run_end::failed; },
+            [](worker_unreachable const&) { return run_end::unreachable; }},
+        it);
+}
+
 std::string_view name_of(rate_source it)
 {
     switch (it)
@@ -395,12 +399,6 @@
     }
 }
 
-bool worker_owner::is_overdue(call_entry const& call) const
-{
-    return core::boot_clock::now() - call.started_at >=
-           overdue_ratio * queue_.expected_service_time(call.offer.route);
-}
-
 void worker_owner::refuse(call_entry const& call, error_kind kind,
                           core::milliseconds retry_after, bool reached_worker)
 {
@@ -494,13 +492,9 @@
         handle_event(
             admission::call_rejected{load == nullptr ? std::nullopt : *load});
     }
-    bool const left_without_response =
-        std::holds_alternative<worker_failed>(outcome) &&
-        (call.lost || is_overdue(call));
-    if (completed || rejected || left_without_response)
-    {
-        update_rejection_share(!completed);
-    }
+    rejection_share_.record({end_of(outcome), call.lost,
+                             core::boot_clock::now() - call.started_at,
+                             queue_.expected_service_time(call.offer.route)});
     auto const* answered = std::get_if<worker_answered>(&outcome);
     handle_event(admission::run_ended{
         key,
@@ -574,12 +568,6 @@
         outcome);
 }
 
-void worker_owner::update_rejection_share(bool rejected)
-{
-    rejection_share_ +=
-        rejection_weight * ((rejected ? 1.0 : 0.0) - rejection_share_);
-}
-
 void worker_owner::report_outcome(call_entry& call, worker_answered& outcome)
 {
     auto const now = core::boot_clock::now();
@@ -699,8 +687,7 @@
         to_milliseconds(link_backlog() + queue_.expected_response_time()));
     report.body_rate = queue_.body_rate();
     report.relative_service_time = queue_.relative_service_time();
-    report.rejection_share =
-        core::percentage(static_cast<std::uint32_t>(rejection_share_ * 100));
+    report.rejection_share = rejection_share_.value();
     report.rate = queue_.stated_rate();
     report.cold_rate = queue_.cold_rate();
     report.waits_by_rank = queue_.waits_by_rank(now);
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -29,6 +29,7 @@
 #include "upstream/counters.hpp"
 #include "upstream/load_publisher.hpp"
 #include "upstream/pending_starts.hpp"
+#include "upstream/rejection_share.hpp"
 #include "upstream/worker_availability.hpp"
 #include "upstream/worker_client.hpp"
 #include "upstream/worker_warm_up.hpp"
@@ -127,12 +128,6 @@
     // that the queue has started but that have not been sent to the worker.
     void start_refusing(core::error_kind kind);
     void refuse_pending_start(call_key const& key, core::error_kind kind);
-    // Records whether the worker turned a call away or left it without a
-    // response.
-    void update_rejection_share(bool rejected);
-    // Returns whether the call has run for so long that its worker should have
-    // responded.
-    bool is_overdue(call_entry const& call) const;
     bool has_stated_leaving(core::upstream_id const& upstream) const;
     void record_leaving(core::upstream_id const& upstream);
     // Tells the queue whether any worker may get calls.
@@ -161,9 +156,7 @@
     poison_notice_handler on_poison_notice_;
     // The worker that has stated the rate in use.
     core::upstream_id rate_stated_by_;
-    // Moving average of the share of calls that the worker rejected or left
-    // without a response, from 0 to 1.
-    double rejection_share_ = 0;
+    rejection_share rejection_share_;
     std::shared_ptr<counters> counters_;
     // Paces the long responses of this VM. Null if its bandwidth is not known.
     std::shared_ptr<transport::paced_link> link_;
