--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -65,39 +65,6 @@
         it);
 }
 
-std::string_view name_of(rate_source it)
-{
-    switch (it)
-    {
-    case rate_source::response:
-        return "response";
-    case rate_source::rejection:
-        return "rejection";
-    case rate_source::offer:
-        return "offer";
-    }
-    return "unknown";
-}
-
-// Returns whether a statement about a worker's rate replaces the one in use.
-// `is_known` states whether the worker has told its rate to this process.
-bool may_apply(core::stated_rate const& rate, rate_source source, bool is_known)
-{
-    switch (source)
-    {
-    case rate_source::response:
-        return !std::holds_alternative<core::rate_unknown>(rate);
-    case rate_source::rejection:
-        // Only the response to a call that has run ends a limit, since a
-        // rejection may come from a part of the worker that states none.
-        return core::limit_of(rate).has_value();
-    case rate_source::offer:
-        // Other nodes repeat what the worker stated to an earlier process.
-        return core::limit_of(rate).has_value() && !is_known;
-    }
-    return false;
-}
-
 } // namespace
 
 worker_owner::worker_owner(boost::asio::io_context& context,
@@ -509,14 +476,10 @@
                                core::stated_rate const& rate,
                                rate_source source)
 {
-    bool const is_known =
-        rate_stated_by_ == upstream &&
-        !std::holds_alternative<core::rate_unknown>(queue_.stated_rate());
-    if (!may_apply(rate, source, is_known))
+    if (!rate_statements_.accept(upstream, rate, source, queue_.stated_rate()))
     {
         return;
     }
-    rate_stated_by_ = upstream;
     auto const limit = core::limit_of(rate);
     bool const changed = limit != core::limit_of(queue_.stated_rate());
     handle_event(admission::rate_stated{rate});
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -29,6 +29,7 @@
 #include "upstream/counters.hpp"
 #include "upstream/load_publisher.hpp"
 #include "upstream/pending_starts.hpp"
+#include "upstream/rate_statements.hpp"
 #include "upstream/rejection_share.hpp"
 #include "upstream/worker_availability.hpp"
 #include "upstream/worker_client.hpp"
@@ -51,15 +52,6 @@
     std::shared_ptr<core::memory_part> response_memory;
 };
 
-// Where a statement about the rate of the local worker comes from.
-enum class rate_source
-{
-    response,
-    rejection,
-    // Another node's offer, which repeats what the worker stated earlier.
-    offer,
-};
-
 // The session of calls from this node's own callers to the local worker. They
 // cross no network link.
 inline constexpr session_id local_session{0};
@@ -154,8 +146,7 @@
     std::shared_ptr<retries::local_runs> local_runs_;
     poison::crash_detector crash_detector_;
     poison_notice_handler on_poison_notice_;
-    // The worker that has stated the rate in use.
-    core::upstream_id rate_stated_by_;
+    rate_statements rate_statements_;
     rejection_share rejection_share_;
     std::shared_ptr<counters> counters_;
     // Paces the long responses of this VM. Null if its bandwidth is not known.
