Upstream: Move the detection of crashes out of worker_owner

worker_owner passed the ends of runs to the crash detector, started its probes and logged and reported its notices. crash_monitor owns the detector and does this for any probe function, so that its tests need no network: one failed probe reports all interrupted requests, after offers have stopped, and a probe that succeeds or ends late reports nothing.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -88,8 +88,16 @@
           [this](call_key const& key) { start_run(key, calls_.at(key)); })),
       load_publisher_(
           std::make_shared<load_publisher>(context, [this] { return load(); })),
-      local_runs_(settings.local_runs), crash_detector_(settings.incarnation),
-      on_poison_notice_(std::move(on_poison_notice)),
+      local_runs_(settings.local_runs),
+      crash_monitor_(std::make_shared<crash_monitor>(
+          settings.incarnation,
+          [client = worker_client_](std::function<void(bool)> done) {
+              client->probe(std::move(done));
+          },
+          std::move(on_poison_notice),
+          [this](core::instant now) {
+              availability_.record_unreachable(now);
+          })),
       counters_(std::move(counters)), link_(std::move(link))
 {}
 
@@ -216,12 +224,7 @@
 
 void worker_owner::set_suspects(std::set<poison::fingerprint> suspects)
 {
-    auto const notices = crash_detector_.set_suspects(std::move(suspects),
-                                                      core::boot_clock::now());
-    for (auto const& it : notices)
-    {
-        on_poison_notice_(it);
-    }
+    crash_monitor_->set_suspects(std::move(suspects), core::boot_clock::now());
 }
 
 void worker_owner::update_queue_draining()
@@ -534,11 +537,7 @@
 void worker_owner::report_outcome(call_entry& call, worker_answered& outcome)
 {
     auto const now = core::boot_clock::now();
-    if (auto const notice =
-            crash_detector_.request_completed(call.fingerprint, now))
-    {
-        on_poison_notice_(*notice);
-    }
+    crash_monitor_->record_answered(call.fingerprint, now);
     auto const run_time = to_milliseconds(now - call.started_at);
     call.reply(
         peers::answered{call.offer.call, std::move(outcome.response), run_time,
@@ -572,41 +571,13 @@
            worker_availability::unreachable_backoff, false);
 }
 
-void worker_owner::check_for_crash(poison::fingerprint const& request)
-{
-    if (!crash_detector_.request_interrupted(request, core::boot_clock::now()))
-    {
-        return;
-    }
-    worker_client_->probe([weak = weak_from_this()](bool reached) {
-        auto const self = weak.lock();
-        if (!self)
-        {
-            return;
-        }
-        if (reached)
-        {
-            self->crash_detector_.probe_succeeded();
-            return;
-        }
-        auto const now = core::boot_clock::now();
-        self->availability_.record_unreachable(now);
-        for (auto const& it : self->crash_detector_.probe_failed(now))
-        {
-            core::log_event(
-                core::log_level::warning, "worker_crashed",
-                {{"suspect", it.request.value()}, {"crash", it.crash.number}});
-            self->on_poison_notice_(it);
-        }
-    });
-}
-
 void worker_owner::report_outcome(call_entry& call, worker_failed& outcome)
 {
     // A canceled call that is not idempotent runs on and may crash the worker.
     if (outcome.cause == http::failure_cause::closed_without_response)
     {
-        check_for_crash(call.fingerprint);
+        crash_monitor_->record_interrupted(call.fingerprint,
+                                           core::boot_clock::now());
     }
     if (call.canceled)
     {
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -10,7 +10,6 @@
 #ifndef YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 #define YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 
-#include <functional>
 #include <memory>
 #include <set>
 
@@ -22,11 +21,11 @@
 #include "metadata/header_codec.hpp"
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
-#include "poison/crash_detector.hpp"
 #include "retries/local_runs.hpp"
 #include "transport/paced_link.hpp"
 #include "upstream/call_table.hpp"
 #include "upstream/counters.hpp"
+#include "upstream/crash_monitor.hpp"
 #include "upstream/load_publisher.hpp"
 #include "upstream/pending_starts.hpp"
 #include "upstream/rate_statements.hpp"
@@ -61,7 +60,7 @@
 class worker_owner : public std::enable_shared_from_this<worker_owner>
 {
 public:
-    using poison_notice_handler = std::function<void(poison::notice const&)>;
+    using poison_notice_handler = crash_monitor::notice_handler;
 
     // The handler is called for each request that was running in the worker
     // when the worker crashed, and for each suspect that has completed.
@@ -128,7 +127,6 @@
     void update_rate(core::upstream_id const& upstream,
                      core::stated_rate const& rate, rate_source source);
     core::duration link_backlog() const;
-    void check_for_crash(poison::fingerprint const& request);
 
     boost::asio::steady_timer queue_timer_;
     // When the timer expires, or zero if it is not set.
@@ -144,8 +142,7 @@
     std::shared_ptr<pending_starts> pending_starts_;
     std::shared_ptr<load_publisher> load_publisher_;
     std::shared_ptr<retries::local_runs> local_runs_;
-    poison::crash_detector crash_detector_;
-    poison_notice_handler on_poison_notice_;
+    std::shared_ptr<crash_monitor> crash_monitor_;
     rate_statements rate_statements_;
     rejection_share rejection_share_;
     std::shared_ptr<counters> counters_;
