Upstream: Build the load report of the worker in a function of its own

worker_owner read a dozen values from the queue between its messages. The function make_load_report() takes the queue, the backlog of the link, the share of rejected calls and the time, and has no state. Its test checks that the backlog of the link is part of the wait for bodies.

No behaviour changes. test_upstream passes.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -9,6 +9,7 @@
 
 #include "core/log.hpp"
 #include "core/overloaded.hpp"
+#include "upstream/load_report.hpp"
 
 namespace yuccafall::upstream {
 
@@ -607,25 +608,8 @@
 
 balancing::load_report worker_owner::load() const
 {
-    balancing::load_report report;
-    report.running =
-        core::slot_count(static_cast<std::uint32_t>(queue_.running()));
-    report.waiting =
-        core::queue_length(static_cast<std::uint32_t>(queue_.waiting()));
-    report.slots = queue_.slots();
-    auto const now = core::boot_clock::now();
-    report.wait_for_nested = queue_.wait_for_nested(now);
-    report.wait_at_back = queue_.wait_at_back(now);
-    report.wait_for_bodies = std::max(
-        queue_.wait_for_bodies(),
-        to_milliseconds(link_backlog() + queue_.expected_response_time()));
-    report.body_rate = queue_.body_rate();
-    report.relative_service_time = queue_.relative_service_time();
-    report.rejection_share = rejection_share_.value();
-    report.rate = queue_.stated_rate();
-    report.cold_rate = queue_.cold_rate();
-    report.waits_by_rank = queue_.waits_by_rank(now);
-    return report;
+    return make_load_report(queue_, link_backlog(), rejection_share_.value(),
+                            core::boot_clock::now());
 }
 
 // Sets the queue's timer, unless it is already set to expire early enough.
