Upstream: Give the outcomes of requests to the worker their own file

They are now in worker_outcome, apart from connections. Code is moved, apart from load_of(), which returns the load instead of a pointer to it.

--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -13,15 +13,6 @@
 
 namespace {
 
-// Returns true if the status code means that the worker did not run the
-// request. A worker's response with such a code counts as a failure unless it
-// also states in its metadata that the request did not run, since the code may
-// be wrong.
-bool status_implies_request_not_run(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 // A response that breaks off is invalid too, and is not told apart here from
 // one that the worker has written wrongly.
 bool is_connection_loss(http::failure_cause it)
@@ -51,38 +42,6 @@
 
 } // namespace
 
-worker_outcome classify_response(http::response response,
-                                 metadata::header_codec const& header_codec)
-{
-    auto metadata = header_codec.read_response_metadata(response);
-    if (metadata.not_run || metadata.wrong_worker)
-    {
-        return worker_rejected{std::move(metadata)};
-    }
-    auto const invalid_response_failure = [&](std::string reason) {
-        return worker_failed{http::failure_cause::invalid_response,
-                             std::move(reason), metadata.load};
-    };
-    if (http::find_header(response.headers, "content-encoding") != nullptr)
-    {
-        // The request did not ask for a content encoding.
-        return invalid_response_failure(
-            "the worker's response has an unrequested content encoding");
-    }
-    if (response.status < 300 && !metadata.has_signature)
-    {
-        return invalid_response_failure(
-            "the worker's success response carries no signature");
-    }
-    if (status_implies_request_not_run(response.status))
-    {
-        return invalid_response_failure(
-            "the worker's status code implies that the request did "
-            "not run, but its response does not state so");
-    }
-    return worker_answered{std::move(response), std::move(metadata)};
-}
-
 worker_client::worker_client(boost::asio::io_context& context,
                              core::endpoint endpoint,
                              metadata::header_codec header_codec,
--- a/src/upstream/worker_client.hpp
+++ b/src/upstream/worker_client.hpp
@@ -15,41 +15,10 @@
 #include "core/units.hpp"
 #include "http/client_connection.hpp"
 #include "metadata/header_codec.hpp"
+#include "upstream/worker_outcome.hpp"
 
 namespace yuccafall::upstream {
 
-// The worker ran the request and sent a valid response.
-struct worker_answered
-{
-    http::response response;
-    metadata::response_metadata metadata;
-};
-// The worker, or another worker that now has its address, rejected the request
-// before it ran.
-struct worker_rejected
-{
-    metadata::response_metadata metadata;
-};
-// No connection to the worker could be opened, so the request did not run.
-struct worker_unreachable
-{
-    std::string reason;
-};
-// The request was sent to the worker but got no valid response. It may have
-// run.
-struct worker_failed
-{
-    http::failure_cause cause;
-    std::string reason;
-    std::optional<admission::worker_load> load;
-    // True if the connection was closed or reset, and not by this node, or if
-    // the response is not valid HTTP.
-    bool connection_lost = false;
-};
-// How a request to the worker ended.
-using worker_outcome = std::variant<worker_answered, worker_rejected,
-                                    worker_unreachable, worker_failed>;
-
 // The worker's health response.
 struct health_response
 {
@@ -64,10 +33,6 @@
 };
 using health_outcome = std::variant<health_response, health_unavailable>;
 
-// Returns the outcome of a request whose response has arrived completely.
-worker_outcome classify_response(http::response response,
-                                 metadata::header_codec const& header_codec);
-
 struct worker_client_settings
 {
     core::milliseconds connect_timeout{600};
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -41,31 +41,6 @@
     return out;
 }
 
-// Returns the metadata of a response in which the worker speaks for itself, or
-// null if there is none.
-metadata::response_metadata const* metadata_of(worker_outcome const& it)
-{
-    return std::visit(
-        core::overloaded{
-            [](worker_answered const& o) { return &o.metadata; },
-            [](worker_rejected const& o) { return &o.metadata; },
-            [](auto const&) {
-                return static_cast<metadata::response_metadata const*>(nullptr);
-            }},
-        it);
-}
-
-run_end end_of(worker_outcome const& it)
-{
-    return std::visit(
-        core::overloaded{
-            [](worker_answered const&) { return run_end::answered; },
-            [](worker_rejected const&) { return run_end::rejected; },
-            [](worker_failed const&) { return run_end::failed; },
-            [](worker_unreachable const&) { return run_end::unreachable; }},
-        it);
-}
-
 } // namespace
 
 worker_owner::worker_owner(boost::asio::io_context& context,
@@ -444,24 +419,14 @@
             record_leaving(call.offer.upstream);
         }
     }
-    auto const* load = std::visit(
-        core::overloaded{
-            [](worker_answered const& it) { return &it.metadata.load; },
-            [](worker_rejected const& it) { return &it.metadata.load; },
-            [](worker_failed const& it) { return &it.load; },
-            [](worker_unreachable const&) {
-                return static_cast<
-                    std::optional<admission::worker_load> const*>(nullptr);
-            }},
-        outcome);
-    if (load != nullptr && *load)
+    auto const load = load_of(outcome);
+    if (load)
     {
-        handle_event(admission::load_reported{**load, key});
+        handle_event(admission::load_reported{*load, key});
     }
     if (rejected)
     {
-        handle_event(
-            admission::call_rejected{load == nullptr ? std::nullopt : *load});
+        handle_event(admission::call_rejected{load});
     }
     rejection_share_.record({end_of(outcome), call.lost,
                              core::boot_clock::now() - call.started_at,
