Upstream: Read in worker_warm_up what the end of a run shows of it

worker_owner told the outcomes of runs apart and called one of three functions of worker_warm_up. One function takes the outcome now, and the three are private.

No behaviour changes. test_upstream passes.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -405,7 +405,9 @@
     local_runs_->record_end(call.offer.is_repeat);
     // The end of this run may start other calls, which must not go to a worker
     // that counts as warm if this run shows that it may be another one.
-    record_contact(outcome, call);
+    warm_up_->record_outcome(outcome, call.offer.route,
+                             core::boot_clock::now() - call.started_at,
+                             call.canceled);
 
     bool const completed = std::holds_alternative<worker_answered>(outcome);
     bool const rejected = std::holds_alternative<worker_rejected>(outcome);
@@ -465,41 +467,6 @@
          {"source", name_of(source)}});
 }
 
-void worker_owner::record_contact(worker_outcome const& outcome,
-                                  call_entry const& call)
-{
-    using admission::warm_up_source;
-    std::visit(
-        core::overloaded{
-            [&](worker_answered const& it) {
-                warm_up_->record_answered_run(
-                    {call.offer.route,
-                     core::boot_clock::now() - call.started_at,
-                     it.metadata.load});
-            },
-            [&](worker_rejected const& it) {
-                if (it.metadata.wrong_worker)
-                {
-                    warm_up_->record_doubt(warm_up_source::worker_replaced);
-                    return;
-                }
-                warm_up_->record_response();
-            },
-            [&](worker_unreachable const&) {
-                if (!call.canceled)
-                {
-                    warm_up_->record_doubt(warm_up_source::worker_unreachable);
-                }
-            },
-            [&](worker_failed const& it) {
-                if (it.connection_lost)
-                {
-                    warm_up_->record_doubt(warm_up_source::connection_lost);
-                }
-            }},
-        outcome);
-}
-
 void worker_owner::report_outcome(call_entry& call, worker_answered& outcome)
 {
     auto const now = core::boot_clock::now();
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -103,8 +103,6 @@
     void apply(admission::call_lost const& it);
     void handle_event(admission::event const& it);
     void set_queue_timer();
-    // Records what the end of a run shows of the worker's warm-up.
-    void record_contact(worker_outcome const& outcome, call_entry const& call);
 
     void start_run(call_key const& key, call_entry& call);
     void on_run_ended(call_key const& key, worker_outcome outcome);
--- a/src/upstream/worker_warm_up.cpp
+++ b/src/upstream/worker_warm_up.cpp
@@ -95,6 +95,38 @@
     }
 }
 
+void worker_warm_up::record_outcome(worker_outcome const& it,
+                                    core::route_name const& route,
+                                    core::duration run_time, bool canceled)
+{
+    using admission::warm_up_source;
+    std::visit(core::overloaded{
+                   [&](worker_answered const& o) {
+                       record_answered_run({route, run_time, o.metadata.load});
+                   },
+                   [&](worker_rejected const& o) {
+                       if (o.metadata.wrong_worker)
+                       {
+                           record_doubt(warm_up_source::worker_replaced);
+                           return;
+                       }
+                       record_response();
+                   },
+                   [&](worker_unreachable const&) {
+                       if (!canceled)
+                       {
+                           record_doubt(warm_up_source::worker_unreachable);
+                       }
+                   },
+                   [&](worker_failed const& o) {
+                       if (o.connection_lost)
+                       {
+                           record_doubt(warm_up_source::connection_lost);
+                       }
+                   }},
+               it);
+}
+
 void worker_warm_up::record_response()
 {
     handle_event(admission::call_answered{});
--- a/src/upstream/worker_warm_up.hpp
+++ b/src/upstream/worker_warm_up.hpp
@@ -21,6 +21,7 @@
 #include "upstream/counters.hpp"
 #include "upstream/local_workers.hpp"
 #include "upstream/worker_client.hpp"
+#include "upstream/worker_outcome.hpp"
 
 namespace yuccafall::upstream {
 
@@ -46,15 +47,19 @@
     void
     record_offer(std::optional<core::warm_up_limits> const& offered_limits);
     void set_calls_wait(bool calls_wait);
+    // Records what the end of a run shows. `run_time` is the time since the
+    // start of the run, and `canceled` states whether the call was canceled.
+    void record_outcome(worker_outcome const& it, core::route_name const& route,
+                        core::duration run_time, bool canceled);
+    void close();
+
+private:
     // Records that the worker has responded to a call.
     void record_response();
     // Records that it has done so after it has run the call.
     void record_answered_run(admission::answered_run const& it);
     // Records an event after which the worker may be cold.
     void record_doubt(admission::warm_up_source cause);
-    void close();
-
-private:
     void handle_event(admission::warm_up_event const& it);
     void apply(admission::request_health const&);
     void apply(admission::state_changed const& it);
