Upstream: Move the start of runs out of worker_owner

worker_owner prepared the request of a call, with the fields for the worker and the time that is left, and counted the runs. worker_runs does this and owns the codec of the fields and the count, which it ends with the outcome. worker_owner only handles the outcome.

No behaviour changes. test_upstream passes; its tests of worker_owner cover the start of runs.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -17,10 +17,6 @@
 
 namespace {
 
-// A worker that exceeds the timeout of a request has this long to report that
-// before the connection is closed.
-constexpr core::milliseconds worker_timeout_grace{300};
-
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::chrono::duration_cast<core::milliseconds>(it);
@@ -49,10 +45,10 @@
                            poison_notice_handler on_poison_notice,
                            std::shared_ptr<counters> counters,
                            std::shared_ptr<transport::paced_link> link)
-    : queue_timer_(context), header_codec_(header_codec),
-      worker_client_(std::make_shared<worker_client>(
-          context, settings.worker_endpoint, header_codec,
-          client_settings_of(settings))),
+    : queue_timer_(context), worker_client_(std::make_shared<worker_client>(
+                                 context, settings.worker_endpoint,
+                                 header_codec, client_settings_of(settings))),
+      runs_(worker_client_, header_codec, settings.local_runs, counters),
       queue_(queue_settings_of(settings)),
       warm_up_(std::make_shared<worker_warm_up>(
           context, worker_client_, counters,
@@ -61,10 +57,9 @@
           })),
       pending_starts_(std::make_shared<pending_starts>(
           context.get_executor(),
-          [this](call_key const& key) { start_run(key, calls_.at(key)); })),
+          [this](call_key const& key) { start_run(key); })),
       load_publisher_(
           std::make_shared<load_publisher>(context, [this] { return load(); })),
-      local_runs_(settings.local_runs),
       crash_monitor_(std::make_shared<crash_monitor>(
           settings.incarnation,
           [client = worker_client_](std::function<void(bool)> done) {
@@ -379,30 +374,17 @@
                               has_stated_leaving(call.offer.upstream), load()});
 }
 
-void worker_owner::start_run(call_key const& key, call_entry& call)
+void worker_owner::start_run(call_key const& key)
 {
-    core::add(counters_->runs);
-    local_runs_->record_start(call.offer.is_repeat);
-    auto const now = core::boot_clock::now();
-    call.started_at = now;
-    auto const remaining =
-        std::max(to_milliseconds(call.deadline - now), core::milliseconds(1));
-    auto message = std::move(call.offer.http_request);
-    call.fingerprint =
-        poison::fingerprint_of(message.method, message.target, message.body);
-    header_codec_.write_worker_metadata(
-        message.headers, {call.offer.upstream, remaining, call.offer.origin});
-    call.run = worker_client_->start(
-        message, call.offer.request_id, remaining + worker_timeout_grace,
-        [self = shared_from_this(), key](worker_outcome outcome) {
-            self->on_run_ended(key, std::move(outcome));
-        });
+    runs_.start(calls_.at(key),
+                [self = shared_from_this(), key](worker_outcome outcome) {
+                    self->on_run_ended(key, std::move(outcome));
+                });
 }
 
 void worker_owner::on_run_ended(call_key const& key, worker_outcome outcome)
 {
     auto call = calls_.remove(key);
-    local_runs_->record_end(call.offer.is_repeat);
     // The end of this run may start other calls, which must not go to a worker
     // that counts as warm if this run shows that it may be another one.
     warm_up_->record_outcome(outcome, call.offer.route,
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -32,6 +32,7 @@
 #include "upstream/rejection_share.hpp"
 #include "upstream/worker_availability.hpp"
 #include "upstream/worker_client.hpp"
+#include "upstream/worker_runs.hpp"
 #include "upstream/worker_warm_up.hpp"
 
 namespace yuccafall::upstream {
@@ -104,7 +105,7 @@
     void handle_event(admission::event const& it);
     void set_queue_timer();
 
-    void start_run(call_key const& key, call_entry& call);
+    void start_run(call_key const& key);
     void on_run_ended(call_key const& key, worker_outcome outcome);
     void report_outcome(call_entry& call, worker_answered& outcome);
     void report_outcome(call_entry& call, worker_rejected& outcome);
@@ -129,8 +130,8 @@
     boost::asio::steady_timer queue_timer_;
     // When the timer expires, or zero if it is not set.
     core::instant queue_timer_due_{};
-    metadata::header_codec header_codec_;
     std::shared_ptr<worker_client> worker_client_;
+    worker_runs runs_;
     admission::slot_queue queue_;
     std::shared_ptr<worker_warm_up> warm_up_;
     worker_availability availability_;
@@ -139,7 +140,6 @@
     // of queue_.
     std::shared_ptr<pending_starts> pending_starts_;
     std::shared_ptr<load_publisher> load_publisher_;
-    std::shared_ptr<retries::local_runs> local_runs_;
     std::shared_ptr<crash_monitor> crash_monitor_;
     rate_statements rate_statements_;
     rejection_share rejection_share_;
