Upstream: Move the reports of ended calls out of worker_owner

The replies to the nodes that offered calls, with their counts and log lines, were half of the functions that ended a call. call_reporter sends them.

--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -69,6 +69,8 @@
           [this](core::instant now) {
               availability_.record_unreachable(now);
           })),
+      reporter_(
+          queue_, availability_, [this] { return load(); }, counters),
       counters_(std::move(counters)), link_(std::move(link))
 {}
 
@@ -100,7 +102,7 @@
     if (auto const refusal =
             availability_.refusal_of_offer(call.offer.upstream, now))
     {
-        refuse(call, refusal->kind, refusal->retry_after, false);
+        reporter_.refuse(call, *refusal);
         return;
     }
     update_rate(call.offer.upstream, call.offer.rate, rate_source::offer);
@@ -213,12 +215,6 @@
     handle_event(admission::drain_ended{});
 }
 
-bool worker_owner::has_stated_leaving(core::upstream_id const& upstream) const
-{
-    return availability_.workers().has_stated_leaving(upstream,
-                                                      core::boot_clock::now());
-}
-
 void worker_owner::record_leaving(core::upstream_id const& upstream)
 {
     if (!availability_.record_leaving(upstream, core::boot_clock::now()))
@@ -254,7 +250,7 @@
     auto const call = calls_.remove(key);
     handle_event(admission::run_ended{key, admission::run_result::incomplete,
                                       core::byte_count(0)});
-    refuse(call, kind, {}, false);
+    reporter_.refuse(call, {kind});
 }
 
 void worker_owner::close()
@@ -305,7 +301,7 @@
     {
         core::add(counters_->cold_refused);
     }
-    refuse(call, it.kind, it.retry_after, false);
+    reporter_.refuse(call, {it.kind, it.retry_after});
 }
 
 // A call that must not run twice is left to its deadline, since closing its
@@ -322,58 +318,13 @@
     }
     auto& call = calls_.at(it.call);
     call.lost = true;
-    core::add(counters_->lost);
-    if (core::admit_request_line(core::request_event::exceptional))
-    {
-        core::log_event(core::log_level::warning, "call_lost",
-                        {{"request", call.offer.request_id.value()},
-                         {"upstream", call.offer.upstream.value()},
-                         {"ran_ms", to_milliseconds(core::boot_clock::now() -
-                                                    call.started_at)
-                                        .count()},
-                         {"running", queue_.running()},
-                         {"slots", queue_.slots().value()}});
-    }
+    reporter_.report_loss(call);
     if (routing::is_idempotent(call.offer.repeatability))
     {
         call.run->abort();
     }
 }
 
-void worker_owner::refuse(call_entry const& call, error_kind kind,
-                          core::milliseconds retry_after, bool reached_worker)
-{
-    core::add(counters_->refused);
-    if (kind == error_kind::evacuated)
-    {
-        core::add(counters_->evacuated);
-    }
-    // Refusing an offer that required a free slot is ordinary, since the call
-    // goes on to another worker.
-    auto const event_type = call.offer.has_alternative
-                                ? core::request_event::ordinary
-                                : core::request_event::exceptional;
-    if (core::admit_request_line(event_type))
-    {
-        core::log_event(
-            core::log_level::info, "call_refused",
-            {{"request", call.offer.request_id.value()},
-             {"upstream", call.offer.upstream.value()},
-             {"kind", core::error_kind_info_for(kind).name},
-             {"rank", call.offer.rank.value()},
-             {"remaining_ms", call.offer.deadline_remaining.count()},
-             {"running", queue_.running()},
-             {"waiting", queue_.waiting()},
-             {"slots", queue_.slots().value()},
-             {"limited",
-              std::holds_alternative<core::rate_limited>(queue_.stated_rate())},
-             {"retry_after_ms", retry_after.count()}});
-    }
-    call.reply(peers::refused{call.offer.call, kind, retry_after,
-                              reached_worker,
-                              has_stated_leaving(call.offer.upstream), load()});
-}
-
 void worker_owner::start_run(call_key const& key)
 {
     runs_.start(calls_.at(key),
@@ -453,10 +404,8 @@
 {
     auto const now = core::boot_clock::now();
     crash_monitor_->record_answered(call.fingerprint, now);
-    auto const run_time = to_milliseconds(now - call.started_at);
-    call.reply(
-        peers::answered{call.offer.call, std::move(outcome.response), run_time,
-                        has_stated_leaving(call.offer.upstream), load()});
+    reporter_.report_response(call, std::move(outcome.response),
+                              to_milliseconds(now - call.started_at));
 }
 
 void worker_owner::report_outcome(call_entry& call, worker_rejected& outcome)
@@ -466,10 +415,11 @@
     {
         availability_.record_replaced(call.offer.upstream);
     }
-    refuse(call,
-           outcome.metadata.wrong_worker ? error_kind::wrong_upstream
-                                         : error_kind::upstream_rejected,
-           {}, true);
+    reporter_.refuse(call,
+                     {outcome.metadata.wrong_worker
+                          ? error_kind::wrong_upstream
+                          : error_kind::upstream_rejected},
+                     true);
 }
 
 void worker_owner::report_outcome(call_entry& call, worker_unreachable& outcome)
@@ -482,8 +432,8 @@
     core::log_event(core::log_level::warning, "worker_unreachable",
                     {{"upstream", call.offer.upstream.value()},
                      {"reason", outcome.reason}});
-    refuse(call, error_kind::no_upstream,
-           worker_availability::unreachable_backoff, false);
+    reporter_.refuse(call, {error_kind::no_upstream,
+                            worker_availability::unreachable_backoff});
 }
 
 void worker_owner::report_outcome(call_entry& call, worker_failed& outcome)
@@ -498,21 +448,7 @@
     {
         return;
     }
-    core::add(counters_->failed);
-    auto const kind = outcome.cause == http::failure_cause::timed_out
-                          ? error_kind::deadline_passed
-                          : error_kind::upstream_failed;
-    if (core::admit_request_line(core::request_event::exceptional))
-    {
-        core::log_event(core::log_level::info, "run_failed",
-                        {{"request", call.offer.request_id.value()},
-                         {"upstream", call.offer.upstream.value()},
-                         {"kind", core::error_kind_info_for(kind).name},
-                         {"reason", outcome.reason},
-                         {"running", queue_.running()}});
-    }
-    call.reply(peers::failed{call.offer.call, kind, std::move(outcome.reason),
-                             load()});
+    reporter_.report_failure(call, std::move(outcome));
 }
 
 core::duration worker_owner::link_backlog() const
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -23,6 +23,7 @@
 #include "peers/peer_server.hpp"
 #include "retries/local_runs.hpp"
 #include "transport/paced_link.hpp"
+#include "upstream/call_reporter.hpp"
 #include "upstream/call_table.hpp"
 #include "upstream/counters.hpp"
 #include "upstream/crash_monitor.hpp"
@@ -111,14 +112,11 @@
     void report_outcome(call_entry& call, worker_rejected& outcome);
     void report_outcome(call_entry& call, worker_unreachable& outcome);
     void report_outcome(call_entry& call, worker_failed& outcome);
-    void refuse(call_entry const& call, core::error_kind kind,
-                core::milliseconds retry_after, bool reached_worker);
     void cancel(call_key const& key, call_entry& call);
     // Refuses waiting calls and new calls with this kind from now on, and those
     // that the queue has started but that have not been sent to the worker.
     void start_refusing(core::error_kind kind);
     void refuse_pending_start(call_key const& key, core::error_kind kind);
-    bool has_stated_leaving(core::upstream_id const& upstream) const;
     void record_leaving(core::upstream_id const& upstream);
     // Tells the queue whether any worker may get calls.
     void update_queue_draining();
@@ -143,6 +141,7 @@
     std::shared_ptr<crash_monitor> crash_monitor_;
     rate_statements rate_statements_;
     rejection_share rejection_share_;
+    call_reporter reporter_;
     std::shared_ptr<counters> counters_;
     // Paces the long responses of this VM. Null if its bandwidth is not known.
     std::shared_ptr<transport::paced_link> link_;
