--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -1,12 +1,11 @@
 // Passes events from sessions and the worker to the slot queue and carries out
-// the actions that it returns.
+// the actions that it returns. What the end of a run shows goes to the types
+// that decide upon it.
 #include "upstream/worker_owner.hpp"
 
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
 #include "core/log.hpp"
 #include "core/overloaded.hpp"
 #include "upstream/load_report.hpp"
