--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -25,40 +25,6 @@
 // separate connection.
 constexpr std::size_t max_inline_body = transport::max_unpaced_message.value();
 
-balancing::outcome outcome_of_refusal(error_kind kind)
-{
-    switch (kind)
-    {
-    case error_kind::no_upstream:
-    case error_kind::leaving:
-        return balancing::outcome::unreachable;
-    case error_kind::wrong_upstream:
-        return balancing::outcome::address_reused;
-    // A refusal as evacuated says nothing about the worker.
-    case error_kind::evacuated:
-    default:
-        return balancing::outcome::refused;
-    }
-}
-
-// Adds the upstreams in the data centres to the set.
-void add_upstreams_in(std::set<core::data_centre> const& data_centres,
-                      std::vector<balancing::upstream> const& upstreams,
-                      std::set<core::upstream_id>& to)
-{
-    if (data_centres.empty())
-    {
-        return;
-    }
-    for (auto const& it : upstreams)
-    {
-        if (data_centres.count(it.data_centre) != 0)
-        {
-            to.insert(it.id);
-        }
-    }
-}
-
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::max(std::chrono::duration_cast<core::milliseconds>(it),
@@ -239,8 +205,12 @@
                                         nested_,
                                         expects_long_response(),
                                         route_->rank};
+    // The view of the call does not state evacuations that began later.
+    auto const excluded = history_.excluded_upstreams(
+        *upstreams_, ingress_->view_ != view_ ? ingress_->view_->evacuated
+                                              : std::set<core::data_centre>{});
     auto const found = ingress_->upstream_scores_.choose(
-        *upstreams_, excluded_upstreams(), traits, now, ingress_->random_);
+        *upstreams_, excluded, traits, now, ingress_->random_);
     std::visit(core::overloaded{[&](balancing::chosen const& it) {
                                     if (!is_refused_at_first_node(it, now))
                                     {
@@ -251,28 +221,17 @@
                                     send_error(
                                         {error_kind::no_upstream,
                                          "every listed worker has been tried"},
-                                        retry_after_);
+                                        history_.retry_after());
                                 }},
                found);
 }
 
-std::set<core::upstream_id> call::excluded_upstreams() const
-{
-    auto out = tried_upstreams_;
-    if (ingress_->view_ != view_)
-    {
-        add_upstreams_in(ingress_->view_->evacuated, *upstreams_, out);
-    }
-    add_upstreams_in(avoided_data_centres_, *upstreams_, out);
-    return out;
-}
-
 // A call that has reached a worker is not refused here, since its response may
 // not state that it did not run.
 bool call::is_refused_at_first_node(balancing::chosen const& choice,
                                     core::instant now)
 {
-    if (workers_reached_ > 0)
+    if (history_.workers_reached() > 0)
     {
         return false;
     }
@@ -310,7 +269,7 @@
                          {"reason", admission::name_of(why.reason)},
                          {"wait_ms", why.wait.count()},
                          {"report_age_ms", why.report_age.count()},
-                         {"redirects", redirects_},
+                         {"redirects", history_.redirects()},
                          {"retry_after_ms", why.retry_after.count()}});
     }
     caller_connection_->send_response(ingress_->error_response(
@@ -325,10 +284,9 @@
     auto const now = core::boot_clock::now();
     auto const& target = *choice.target;
     upstream_ = &target;
-    requires_free_slot_ = choice.has_alternative &&
-                          offers_for_free_slot_ < max_offers_for_free_slot;
-    offers_for_free_slot_ += requires_free_slot_ ? 1 : 0;
-    tried_upstreams_.insert(target.id);
+    requires_free_slot_ =
+        choice.has_alternative && history_.may_require_free_slot();
+    history_.record_offer(target.id, requires_free_slot_);
     attempt_id_ =
         core::call_id{ingress_->incarnation_, ++ingress_->last_call_number_};
     bool const sends_body_separately = request_.body.size() > max_inline_body;
@@ -343,7 +301,7 @@
     offer.repeatability = route_->kind;
     offer.rank = route_->rank;
     offer.nested = nested_;
-    offer.is_repeat = workers_reached_ > 0;
+    offer.is_repeat = history_.workers_reached() > 0;
     offer.deadline_remaining = to_milliseconds(deadline_ - now);
     offer.target_latency_remaining = to_milliseconds(target_time_ - now);
     offer.origin = ingress_->settings_.service;
@@ -395,8 +353,7 @@
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
     on_attempt_ended(attempt_refused{it.kind, it.retry_after, it.reached_worker,
-                                     requires_free_slot_},
-                     outcome_of_refusal(it.kind));
+                                     requires_free_slot_});
 }
 
 void call::record_leaving(bool worker_leaves)
@@ -425,17 +382,13 @@
 {
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
-    on_attempt_ended(attempt_failed{it.kind, it.detail},
-                     it.kind == error_kind::deadline_passed
-                         ? balancing::outcome::abandoned
-                         : balancing::outcome::failed);
+    on_attempt_ended(attempt_failed{it.kind, it.detail});
 }
 
 void call::on_connection_lost(peers::connection_loss const& loss)
 {
     on_attempt_ended(
-        connection_lost{loss.may_have_arrived && body_sent_, loss.reason},
-        balancing::outcome::unreachable);
+        connection_lost{loss.may_have_arrived && body_sent_, loss.reason});
 }
 
 void call::close_attempt(balancing::outcome outcome)
@@ -446,76 +399,26 @@
     attempt_id_.reset();
 }
 
-call_progress call::progress(core::instant now) const
+void call::on_attempt_ended(attempt_result const& result)
 {
-    call_progress progress;
-    progress.repeatability = route_->kind;
-    progress.max_attempts = route_->attempts;
-    progress.workers_reached = workers_reached_;
-    progress.redirects = redirects_;
-    progress.remaining = to_milliseconds(deadline_ - now);
-    progress.expected_duration = route_->target_latency / 2;
-    progress.retry_after = retry_after_;
-    return progress;
-}
-
-void call::on_attempt_ended(attempt_result const& result,
-                            balancing::outcome outcome)
-{
-    close_attempt(outcome);
-    bool const reached_worker = std::visit(
-        core::overloaded{
-            [](attempt_refused const& it) { return it.reached_worker; },
-            [](attempt_failed const&) { return true; },
-            [](connection_lost const& it) { return it.may_have_run; }},
-        result);
-    if (reached_worker)
-    {
-        ++workers_reached_;
-        may_have_run_ =
-            may_have_run_ || !std::holds_alternative<attempt_refused>(result);
-    }
+    close_attempt(outcome_of(result));
+    history_.record_end(result);
+    auto const remaining = to_milliseconds(deadline_ - core::boot_clock::now());
     auto const step =
-        decide_next_step(progress(core::boot_clock::now()), result);
-    update_retry_after(result, step);
+        decide_next_step(history_.progress(*route_, remaining), result);
+    history_.record_step(step, result, *upstream_);
     std::visit([&](auto const& it) { apply(it, result); }, step);
 }
 
-// Keeps the shortest retry delay that any refusal has stated. The refusal of an
-// offer that required a free slot does not count if the same worker may be
-// chosen again, since it says nothing about the queue of the worker. The
-// refusal by a node in an evacuated data centre states no delay.
-void call::update_retry_after(attempt_result const& result,
-                              next_step const& step)
-{
-    auto const* refused = std::get_if<attempt_refused>(&result);
-    auto const* another = std::get_if<try_another>(&step);
-    if (refused == nullptr ||
-        (another != nullptr &&
-         (another->may_reselect_upstream || another->avoid_data_centre)))
-    {
-        return;
-    }
-    retry_after_ = retry_after_.count() == 0
-                       ? refused->retry_after
-                       : std::min(retry_after_, refused->retry_after);
-}
-
 void call::apply(try_another const& step, attempt_result const& result)
 {
     auto const now = core::boot_clock::now();
     if (step.may_reselect_upstream)
     {
         core::add(ingress_->counters_->free_slot_refusals);
-        tried_upstreams_.erase(upstream_->id);
         try_next_upstream();
         return;
     }
-    if (step.avoid_data_centre)
-    {
-        avoided_data_centres_.insert(upstream_->data_centre);
-    }
-    redirects_ += step.uses_retry_budget || step.avoid_data_centre ? 0 : 1;
     if (step.uses_retry_budget &&
         !ingress_->retry_budget_.try_take(service_, now))
     {
@@ -526,7 +429,7 @@
                 ? core::error{refused->kind, "the retry budget is exhausted"}
                 : core::error{error_kind::upstream_failed,
                               "the retry budget is exhausted"},
-            retry_after_);
+            history_.retry_after());
         return;
     }
     core::add(step.uses_retry_budget ? ingress_->counters_->retries
@@ -538,8 +441,8 @@
                          {"route", route_->name.value()},
                          {"from", upstream_->id.value()},
                          {"counts", step.uses_retry_budget},
-                         {"redirects", redirects_},
-                         {"workers_reached", workers_reached_}});
+                         {"redirects", history_.redirects()},
+                         {"workers_reached", history_.workers_reached()}});
     }
     try_next_upstream();
 }
@@ -616,15 +519,16 @@
     ingress_->counters_->latency.observe(took);
     if (core::admit_request_line(core::request_event::ordinary))
     {
-        core::log_event(core::log_level::info, "call_answered",
-                        {{"request", request_id_.value()},
-                         {"route", route_->name.value()},
-                         {"upstream", upstream_->id.value()},
-                         {"status", response.status},
-                         {"took_ms", took.count()},
-                         {"ran_ms", run_time.count()},
-                         {"offers_for_free_slot", offers_for_free_slot_},
-                         {"redirects", redirects_}});
+        core::log_event(
+            core::log_level::info, "call_answered",
+            {{"request", request_id_.value()},
+             {"route", route_->name.value()},
+             {"upstream", upstream_->id.value()},
+             {"status", response.status},
+             {"took_ms", took.count()},
+             {"ran_ms", run_time.count()},
+             {"offers_for_free_slot", history_.offers_for_free_slot()},
+             {"redirects", history_.redirects()}});
     }
     http::strip_connection_headers(response.headers);
     response.keep_alive = true;
@@ -639,14 +543,7 @@
     {
         return;
     }
-    // The error may state that the call did not run only if that is true of all
-    // attempts.
-    auto kind = why.kind;
-    if (may_have_run_ &&
-        core::error_kind_info_for(kind).ran == core::call_execution::not_run)
-    {
-        kind = error_kind::upstream_failed;
-    }
+    auto const kind = history_.kind_for_caller(why.kind);
     core::add(ingress_->counters_->refused[static_cast<std::size_t>(kind)]);
     if (core::admit_request_line(core::request_event::exceptional))
     {
@@ -657,8 +554,8 @@
              {"route", route_ == nullptr ? "" : route_->name.value()},
              {"upstream", upstream_ == nullptr ? "" : upstream_->id.value()},
              {"nested", nested_},
-             {"workers_reached", workers_reached_},
-             {"redirects", redirects_},
+             {"workers_reached", history_.workers_reached()},
+             {"redirects", history_.redirects()},
              {"took_ms",
               to_milliseconds(core::boot_clock::now() - arrived_at_).count()},
              {"version",
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -16,13 +16,13 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/first_node_admission.hpp"
 #include "http/server.hpp"
+#include "ingress/attempt_history.hpp"
 #include "ingress/ingress.hpp"
 #include "ingress/next_step.hpp"
 
@@ -51,10 +51,6 @@
     // false if there is none, so that the call is refused before it runs.
     bool reserve_response_memory();
     void try_next_upstream();
-    // Returns the upstreams that must not get the call: those that it has been
-    // offered to, and those in data centres that have been evacuated since the
-    // call began.
-    std::set<core::upstream_id> excluded_upstreams() const;
     // Returns whether the call is refused without an offer, because the
     // queues of all compared workers would refuse it.
     bool is_refused_at_first_node(balancing::chosen const& choice,
@@ -73,14 +69,10 @@
     void on_connection_lost(peers::connection_loss const& loss);
 
     // Handles the end of an attempt that brought no response.
-    void on_attempt_ended(attempt_result const& result,
-                          balancing::outcome outcome);
-    void update_retry_after(attempt_result const& result,
-                            next_step const& step);
+    void on_attempt_ended(attempt_result const& result);
     void apply(try_another const& step, attempt_result const& result);
     void apply(give_up const& step, attempt_result const& result);
     void close_attempt(balancing::outcome outcome);
-    call_progress progress(core::instant now) const;
 
     void start_deadline_timer();
     void on_deadline_passed();
@@ -108,19 +100,7 @@
     // A response by this time meets the target latency of the route.
     core::instant target_time_;
 
-    std::set<core::upstream_id> tried_upstreams_;
-    // A node beside a worker has refused the call because its data centre is
-    // evacuated, which the view may not state yet.
-    std::set<core::data_centre> avoided_data_centres_;
-    // Number of attempts that reached a worker.
-    std::uint32_t workers_reached_ = 0;
-    std::uint32_t redirects_ = 0;
-    // Number of offers that required a free slot.
-    std::uint32_t offers_for_free_slot_ = 0;
-    // Shortest retry delay that a refusal has stated, or 0 if none has.
-    core::milliseconds retry_after_{0};
-    // True if an earlier attempt may have run the call.
-    bool may_have_run_ = false;
+    attempt_history history_;
 
     // Held until the response arrives. The caller's connection counts the
     // response from then on.
