Ingress: Move the offer and the open attempt out of call

call built the offer and had four members that were valid only while an attempt was open. make_offer() builds what is the same for all attempts of a call, and open_attempt owns the link, the id and what decides how the end of the attempt is read.

--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -7,6 +7,7 @@
 
 #include "core/log.hpp"
 #include "core/overloaded.hpp"
+#include "ingress/call_offer.hpp"
 
 namespace yuccafall::ingress {
 
@@ -20,10 +21,6 @@
 // platform allows beyond a route's timeout.
 constexpr core::milliseconds timeout_response_grace{120};
 
-// A larger body is sent only after the other node has asked for it, and over a
-// separate connection.
-constexpr std::size_t max_inline_body = transport::max_unpaced_message.value();
-
 core::milliseconds to_milliseconds(core::duration it)
 {
     return std::max(std::chrono::duration_cast<core::milliseconds>(it),
@@ -145,7 +142,7 @@
     auto const now = core::boot_clock::now();
     balancing::call_traits const traits{terms_.route->name,
                                         core::byte_count(request_.body.size()),
-                                        request_.body.size() > max_inline_body,
+                                        sends_body_separately(request_),
                                         terms_.nested,
                                         expects_long_response(),
                                         terms_.route->rank};
@@ -229,53 +226,35 @@
     auto const now = core::boot_clock::now();
     auto const& target = *choice.target;
     upstream_ = &target;
-    requires_free_slot_ =
+    bool const requires_free_slot =
         choice.has_alternative && history_.may_require_free_slot();
-    history_.record_offer(target.id, requires_free_slot_);
-    attempt_id_ =
+    history_.record_offer(target.id, requires_free_slot);
+    auto offer = make_offer(terms_, request_, now);
+    offer.call =
         core::call_id{ingress_->incarnation_, ++ingress_->last_call_number_};
-    bool const sends_body_separately = request_.body.size() > max_inline_body;
-    peer_link_ = {target.node, sends_body_separately || expects_long_response()
-                                   ? peers::traffic_class::long_bodies
-                                   : peers::traffic_class::short_messages};
-    peers::offer offer;
-    offer.call = *attempt_id_;
     offer.upstream = target.id;
-    offer.request_id = terms_.request_id;
-    offer.route = terms_.route->name;
-    offer.repeatability = terms_.route->kind;
-    offer.rank = terms_.route->rank;
-    offer.nested = terms_.nested;
     offer.is_repeat = history_.workers_reached() > 0;
-    offer.deadline_remaining = to_milliseconds(terms_.deadline - now);
-    offer.target_latency_remaining = to_milliseconds(terms_.target_time - now);
     offer.origin = ingress_->settings_.service;
-    offer.has_alternative = requires_free_slot_;
+    offer.has_alternative = requires_free_slot;
     offer.rate = ingress_->upstream_scores_.stated_rate(target.id);
     offer.warm_up = warm_up_limits_of(*view_, terms_.service);
-    offer.body_follows = sends_body_separately;
-    offer.body_size = core::byte_count(request_.body.size());
-    body_sent_ = !sends_body_separately;
-    offer.http_request.method = request_.method;
-    offer.http_request.target = request_.target;
-    offer.http_request.headers = request_.headers;
-    if (!sends_body_separately)
-    {
-        offer.http_request.body = request_.body;
-    }
     core::add(ingress_->counters_->offers);
     core::add(ingress_->counters_->unresponsive_avoided,
               choice.avoids_unresponsive_node ? 1 : 0);
     ingress_->upstream_scores_.record_sent(target.id, now);
-    ingress_->links_->open(
-        peer_link_, *attempt_id_,
-        {[self = shared_from_this()](peers::message m) {
-             self->on_message(std::move(m));
-         },
-         [self = shared_from_this()](peers::connection_loss const& loss) {
-             self->on_connection_lost(loss);
-         }});
-    ingress_->links_->send(peer_link_, offer);
+    peers::link_key const link{target.node,
+                               offer.body_follows || expects_long_response()
+                                   ? peers::traffic_class::long_bodies
+                                   : peers::traffic_class::short_messages};
+    attempt_.emplace(
+        ingress_->links_, link, offer,
+        peers::call_handlers{
+            [self = shared_from_this()](peers::message m) {
+                self->on_message(std::move(m));
+            },
+            [self = shared_from_this()](peers::connection_loss const& loss) {
+                self->on_connection_lost(loss);
+            }});
 }
 
 void call::on_message(peers::message it)
@@ -283,13 +262,11 @@
     std::visit([this](auto& m) { on(m); }, it);
 }
 
-void call::on(peers::body_request const& it)
+void call::on(peers::body_request const&)
 {
     // The call keeps its copy of the body, since it is offered to another
     // worker if this one rejects it.
-    body_sent_ = true;
-    ingress_->links_->send(peer_link_,
-                           peers::body_data{it.call, request_.body});
+    attempt_->send_body(request_.body);
 }
 
 void call::on(peers::refused const& it)
@@ -297,8 +274,7 @@
     record_leaving(it.worker_leaves);
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
-    on_attempt_ended(attempt_refused{it.kind, it.retry_after, it.reached_worker,
-                                     requires_free_slot_});
+    on_attempt_ended(attempt_->result_of(it));
 }
 
 void call::record_leaving(bool worker_leaves)
@@ -327,21 +303,20 @@
 {
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
-    on_attempt_ended(attempt_failed{it.kind, it.detail});
+    on_attempt_ended(attempt_->result_of(it));
 }
 
 void call::on_connection_lost(peers::connection_loss const& loss)
 {
-    on_attempt_ended(
-        connection_lost{loss.may_have_arrived && body_sent_, loss.reason});
+    on_attempt_ended(attempt_->result_of(loss));
 }
 
 void call::close_attempt(balancing::outcome outcome)
 {
-    ingress_->links_->close(peer_link_, *attempt_id_);
+    attempt_->close();
     ingress_->upstream_scores_.record_ended(upstream_->id, outcome,
                                             core::boot_clock::now());
-    attempt_id_.reset();
+    attempt_.reset();
 }
 
 void call::on_attempt_ended(attempt_result const& result)
@@ -417,9 +392,9 @@
     {
         return;
     }
-    if (attempt_id_)
+    if (attempt_)
     {
-        ingress_->links_->send(peer_link_, peers::cancel{*attempt_id_});
+        attempt_->cancel();
         close_attempt(balancing::outcome::abandoned);
     }
     send_error({error_kind::deadline_passed,
@@ -441,14 +416,14 @@
             {{"request", terms_.request_id.value()},
              {"route", terms_.route->name.value()},
              {"upstream", upstream_ == nullptr ? "" : upstream_->id.value()},
-             {"attempt_open", attempt_id_.has_value()},
+             {"attempt_open", attempt_.has_value()},
              {"took_ms",
               to_milliseconds(core::boot_clock::now() - terms_.arrived_at)
                   .count()}});
     }
-    if (attempt_id_)
+    if (attempt_)
     {
-        ingress_->links_->send(peer_link_, peers::cancel{*attempt_id_});
+        attempt_->cancel();
         close_attempt(balancing::outcome::abandoned);
     }
     finish();
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -16,7 +16,6 @@
 
 #include <memory>
 #include <optional>
-#include <string>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -25,6 +24,7 @@
 #include "ingress/attempt_history.hpp"
 #include "ingress/ingress.hpp"
 #include "ingress/next_step.hpp"
+#include "ingress/open_attempt.hpp"
 #include "ingress/request_router.hpp"
 
 namespace yuccafall::ingress {
@@ -98,16 +98,10 @@
     // response from then on.
     core::held_memory response_memory_;
 
-    // The members from here to body_sent_ describe the current attempt. The id
-    // is empty while no attempt is open.
-    std::optional<core::call_id> attempt_id_;
+    // The upstream of the current or the latest attempt. Null before the first.
     balancing::upstream const* upstream_ = nullptr;
-    peers::link_key peer_link_;
-    // The offer asks the other node to refuse the call unless a slot is free.
-    bool requires_free_slot_ = false;
-    // False until the body has been sent to the other node, which cannot run
-    // the call without it.
-    bool body_sent_ = false;
+    // Empty while no attempt is open.
+    std::optional<open_attempt> attempt_;
     // True once the caller has been sent its response or has disconnected.
     bool finished_ = false;
 };
