Ingress: Move the log lines about calls out of call

Five log lines with up to eleven fields stood between the steps of a call. They are functions of call_log now, which read the terms and the history of the call. They have no state.

No behaviour, log line or counter changes. test_ingress and scripts/check-docs pass.

--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -1,12 +1,12 @@
-// Carries out the steps of one call. decide_next_step(), upstream_scores and
-// retry_budget make the decisions.
+// Carries out the steps of one call. request_router, decide_next_step(),
+// attempt_history, upstream_scores and retry_budget make the decisions.
 #include "ingress/call.hpp"
 
 #include <algorithm>
 #include <utility>
 
-#include "core/log.hpp"
 #include "core/overloaded.hpp"
+#include "ingress/call_log.hpp"
 #include "ingress/call_offer.hpp"
 
 namespace yuccafall::ingress {
@@ -202,18 +202,7 @@
     core::add(ingress_->counters_
                   ->refused[static_cast<std::size_t>(error_kind::overloaded)]);
     ingress_->counters_->first_node_refusals.add(terms_.route->rank);
-    if (core::admit_request_line(core::request_event::exceptional))
-    {
-        core::log_event(core::log_level::info, "refused_at_first_node",
-                        {{"request", terms_.request_id.value()},
-                         {"route", terms_.route->name.value()},
-                         {"rank", terms_.route->rank.value()},
-                         {"reason", admission::name_of(why.reason)},
-                         {"wait_ms", why.wait.count()},
-                         {"report_age_ms", why.report_age.count()},
-                         {"redirects", history_.redirects()},
-                         {"retry_after_ms", why.retry_after.count()}});
-    }
+    log_first_node_refusal(terms_, history_, why);
     caller_connection_->send_response(ingress_->error_response(
         {error_kind::overloaded,
          "every compared worker would refuse the request"},
@@ -355,16 +344,7 @@
     }
     core::add(step.uses_retry_budget ? ingress_->counters_->retries
                                      : ingress_->counters_->redirects);
-    if (core::admit_request_line(core::request_event::exceptional))
-    {
-        core::log_event(core::log_level::info, "call_moved",
-                        {{"request", terms_.request_id.value()},
-                         {"route", terms_.route->name.value()},
-                         {"from", upstream_->id.value()},
-                         {"counts", step.uses_retry_budget},
-                         {"redirects", history_.redirects()},
-                         {"workers_reached", history_.workers_reached()}});
-    }
+    log_move(terms_, history_, *upstream_, step.uses_retry_budget);
     try_next_upstream();
 }
 
@@ -409,18 +389,8 @@
         return;
     }
     core::add(ingress_->counters_->callers_disconnected);
-    if (core::admit_request_line(core::request_event::exceptional))
-    {
-        core::log_event(
-            core::log_level::info, "caller_left",
-            {{"request", terms_.request_id.value()},
-             {"route", terms_.route->name.value()},
-             {"upstream", upstream_ == nullptr ? "" : upstream_->id.value()},
-             {"attempt_open", attempt_.has_value()},
-             {"took_ms",
-              to_milliseconds(core::boot_clock::now() - terms_.arrived_at)
-                  .count()}});
-    }
+    log_disconnect(terms_, upstream_, attempt_.has_value(),
+                   core::boot_clock::now());
     if (attempt_)
     {
         attempt_->cancel();
@@ -440,19 +410,8 @@
         to_milliseconds(core::boot_clock::now() - terms_.arrived_at);
     core::add(ingress_->counters_->answered);
     ingress_->counters_->latency.observe(took);
-    if (core::admit_request_line(core::request_event::ordinary))
-    {
-        core::log_event(
-            core::log_level::info, "call_answered",
-            {{"request", terms_.request_id.value()},
-             {"route", terms_.route->name.value()},
-             {"upstream", upstream_->id.value()},
-             {"status", response.status},
-             {"took_ms", took.count()},
-             {"ran_ms", run_time.count()},
-             {"offers_for_free_slot", history_.offers_for_free_slot()},
-             {"redirects", history_.redirects()}});
-    }
+    log_response(terms_, history_, *upstream_,
+                 {response.status, took, run_time});
     http::strip_connection_headers(response.headers);
     response.keep_alive = true;
     response_memory_.release();
@@ -466,32 +425,13 @@
     {
         return;
     }
-    auto const kind = history_.kind_for_caller(why.kind);
-    core::add(ingress_->counters_->refused[static_cast<std::size_t>(kind)]);
-    if (core::admit_request_line(core::request_event::exceptional))
-    {
-        core::log_event(
-            core::log_level::info, "call_ended",
-            {{"request", terms_.request_id.value()},
-             {"kind", core::error_kind_info_for(kind).name},
-             {"route",
-              terms_.route == nullptr ? "" : terms_.route->name.value()},
-             {"upstream", upstream_ == nullptr ? "" : upstream_->id.value()},
-             {"nested", terms_.nested},
-             {"workers_reached", history_.workers_reached()},
-             {"redirects", history_.redirects()},
-             {"took_ms",
-              to_milliseconds(core::boot_clock::now() - terms_.arrived_at)
-                  .count()},
-             {"version",
-              view_ && view_->routes
-                  ? view_->routes->source_configuration().version.value()
-                  : 0},
-             {"retry_after_ms", retry_after.count()},
-             {"reason", why.detail}});
-    }
+    core::error const shown{history_.kind_for_caller(why.kind), why.detail};
+    core::add(
+        ingress_->counters_->refused[static_cast<std::size_t>(shown.kind)]);
+    log_error(terms_, history_, upstream_, view_.get(), shown, retry_after,
+              core::boot_clock::now());
     caller_connection_->send_response(
-        ingress_->error_response({kind, why.detail}, retry_after));
+        ingress_->error_response(shown, retry_after));
     finish();
 }
 
