Retries: Save a tenth of the ratio for the failure of a node

When a node fails, all calls that are open at it need another attempt at the same moment. The budget allowed each other node one or two of them (the fixed part of a window, divided by the nodes), whatever had been left unused before. It may now save up a tenth of the ratio of the last window's requests, which comes out of the fifth of the ratio that was left unused. The property tests keep the platform's limit after a calm time and, new, after the number of requests has fallen to a tenth.

--- a/src/retries/retry_budget.cpp
+++ b/src/retries/retry_budget.cpp
@@ -7,7 +7,7 @@
 
 namespace yuccafall::retries {
 
-double retry_budget::capacity() const
+double retry_budget::fixed_part() const
 {
     auto const nodes =
         std::max<double>(1, static_cast<double>(node_count_.value()));
@@ -16,29 +16,38 @@
                              nodes);
 }
 
+double retry_budget::capacity(bucket const& it) const
+{
+    return fixed_part() + it.recent_requests *
+                              (settings_.ratio.value() / 100.0) *
+                              (settings_.saved_ratio_share.value() / 100.0);
+}
+
 retry_budget::bucket& retry_budget::refill(core::service_name const& service,
                                            core::instant now)
 {
     auto& it = buckets_[service];
     if (it.refilled_at == core::instant{})
     {
-        it.tokens = capacity();
+        it.tokens = fixed_part();
     }
     else
     {
         // A bucket that is full at the start of a window and refills once
-        // within it would allow twice its capacity in that window. Half the
-        // refill rate limits this to one and a half times the capacity.
+        // within it would allow twice the fixed part in that window. Half the
+        // refill rate limits this to one and a half times the fixed part.
         auto const elapsed_windows =
             std::chrono::duration<double>(now - it.refilled_at) /
             std::chrono::duration<double>(settings_.window);
+        auto const decay = std::exp(-elapsed_windows);
+        it.recent_requests *= decay;
         if (it.tokens < 0)
         {
             // Retries count only within the window in which they were made.
-            it.tokens *= std::exp(-elapsed_windows);
+            it.tokens *= decay;
         }
-        it.tokens =
-            std::min(capacity(), it.tokens + capacity() * elapsed_windows / 2);
+        it.tokens = std::min(capacity(it),
+                             it.tokens + fixed_part() * elapsed_windows / 2);
     }
     it.refilled_at = now;
     return it;
@@ -48,6 +57,7 @@
                                   core::instant now, double repeat_share)
 {
     auto& it = refill(service, now);
+    it.recent_requests += 1 - repeat_share;
     auto const tokens_per_request = settings_.ratio.value() / 100.0 *
                                     settings_.used_ratio_share.value() / 100.0;
     it.tokens += tokens_per_request * (1 - repeat_share) - repeat_share;
--- a/src/retries/retry_budget.hpp
+++ b/src/retries/retry_budget.hpp
@@ -27,6 +27,10 @@
     // that allow them, so only the calls of repeats that are estimated too low
     // need a reserve.
     core::percentage used_ratio_share{80};
+    // Percentage of the ratio that a node may save up from the requests of one
+    // window, for the moment when a node fails that has many open calls. Part
+    // of the reserve above is used for it.
+    core::percentage saved_ratio_share{10};
     // Percentage of the slack that the nodes use. The rest covers nodes that
     // have just started and what refills within a window.
     core::percentage used_slack_share{60};
@@ -54,12 +58,17 @@
         // Number of retries that may be made now. It is negative after more
         // calls of repeats than the budget allows.
         double tokens = 0;
+        // Number of requests in the last window: an average that is weighted
+        // exponentially by their age.
+        double recent_requests = 0;
         core::instant refilled_at{};
     };
 
     // Returns this node's part of the fixed number of retries in a window,
     // which is at least 1.
-    double capacity() const;
+    double fixed_part() const;
+    // Returns the maximum number of tokens.
+    double capacity(bucket const& it) const;
     // Adds the tokens for the time since the last refill.
     bucket& refill(core::service_name const& service, core::instant now);
 
--- a/src/retries/tests/retry_budget_test.cpp
+++ b/src/retries/tests/retry_budget_test.cpp
@@ -1,6 +1,7 @@
 // Tests the retry budget against the platform's limit, which counts the retries
 // of all nodes in any time window.
 #include <algorithm>
+#include <numeric>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -182,3 +183,67 @@
     REQUIRE(static_cast<double>(retries) >
             0.75 * 0.2 * nodes * requests_per_node);
 }
+
+// Pattern: a node fails at which many calls of each other node are open. Guards
+// against a budget that allows one or two of them another attempt, although no
+// call was retried in the time before.
+TEST_CASE("the retries of a calm time are saved for the failure of a node")
+{
+    constexpr std::size_t nodes = 59;
+    constexpr long requests_per_second = 40;
+    retry_budget it({});
+    it.set_nodes(core::node_count(nodes));
+    constexpr long calm_ms = 20'000;
+    for (long ms = 0; ms < calm_ms; ms += 1'000 / requests_per_second)
+    {
+        it.record_request(service, at(ms));
+    }
+    int saved = 0;
+    while (it.try_take(service, at(calm_ms)))
+    {
+        ++saved;
+    }
+    REQUIRE(saved >= 5);
+    // They lapse if no further requests come.
+    REQUIRE_FALSE(it.try_take(service, at(calm_ms + 1'000)));
+}
+
+// Guards against a burst of saved retries beyond the limit after the number of
+// requests has fallen. The platform counts the requests of the window of the
+// retries, of the one before it or of the one half a window before it.
+TEST_CASE("a fleet stays within the limit when its requests fall off")
+{
+    rc::prop("rates", [](std::uint8_t before_seed, std::uint8_t storm_seed) {
+        long const before = 10 + before_seed % 90;
+        long const after = 1 + before / 10;
+        long const storm_at = 10'000 + storm_seed * 40L;
+        retry_budget it({});
+        std::vector<long> requests(300, 0);
+        std::vector<long> retries(300, 0);
+        long next = 0;
+        while (next < 30'000)
+        {
+            auto const slot = static_cast<std::size_t>(next / 100);
+            it.record_request(service, at(next));
+            ++requests[slot];
+            while (next >= storm_at && it.try_take(service, at(next)))
+            {
+                ++retries[slot];
+            }
+            next += 1'000 / (next < 10'000 ? before : after);
+        }
+        auto const count = [](std::vector<long> const& in, std::size_t from) {
+            return std::accumulate(in.begin() + static_cast<long>(from),
+                                   in.begin() + static_cast<long>(from) + 100,
+                                   0L);
+        };
+        for (std::size_t from = 100; from + 100 <= retries.size(); ++from)
+        {
+            auto const counted =
+                std::max({count(requests, from), count(requests, from - 50),
+                          count(requests, from - 100)});
+            RC_ASSERT(static_cast<double>(count(retries, from)) <=
+                      0.2 * static_cast<double>(counted) + 64);
+        }
+    });
+}
