Ingress: Offer idempotent calls at an unresponsive node to another worker

A call that was open at a failed node waited until the connection was closed after 1.4 s, which is more than the deadlines of some deployments. Otherwise it goes on waiting, since the node may only be slow. While a node is unresponsive this is tried every 50 ms, because the budget grows with each request.

The new end-to-end test fails without the rule: the call is moved by the liveness timeout only.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -137,6 +137,9 @@
     add_counter(out, "yuccafall_unresponsive_avoided_total",
                 "Calls offered elsewhere because a node was unresponsive.",
                 core::value_of(it.unresponsive_avoided));
+    add_counter(out, "yuccafall_unresponsive_moved_total",
+                "Open calls offered elsewhere because a node was unresponsive.",
+                core::value_of(it.unresponsive_moved));
     add_counter(out, "yuccafall_retries_total",
                 "Calls offered again that had reached a worker.",
                 core::value_of(it.retries));
--- a/src/balancing/tests/upstream_scores_test.cpp
+++ b/src/balancing/tests/upstream_scores_test.cpp
@@ -528,6 +528,9 @@
     auto const it = f.scores->choose(upstreams, {}, {}, at(0), random);
     REQUIRE(std::get<chosen>(it).candidates.empty());
     REQUIRE_FALSE(f.scores->is_ejected(upstreams[0].id, at(0)));
+    REQUIRE(f.scores->has_responsive(upstreams, {}, at(0)));
+    REQUIRE_FALSE(
+        f.scores->has_responsive(upstreams, {upstreams[1].id}, at(0)));
     f.scores->record_responsive(upstreams[0].node, true);
     REQUIRE(f.count_calls(upstreams, 0).at("x") > 60);
 }
--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -186,6 +186,13 @@
     return out;
 }
 
+bool upstream_scores::has_responsive(std::vector<upstream> const& upstreams,
+                                     std::set<core::upstream_id> const& tried,
+                                     core::instant now) const
+{
+    return !responsive(eligible(upstreams, tried, now)).empty();
+}
+
 bool upstream_scores::is_ejected(core::upstream_id const& id,
                                  core::instant now) const
 {
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -183,6 +183,15 @@
     // unresponsive node get no calls while another upstream can be chosen. This
     // is not an ejection, and changes no count of failures.
     void record_responsive(core::endpoint const& node, bool responsive);
+    // Returns whether an upstream that has not been tried and whose node is not
+    // unresponsive may get a call.
+    bool has_responsive(std::vector<upstream> const& upstreams,
+                        std::set<core::upstream_id> const& tried,
+                        core::instant now) const;
+    bool is_unresponsive(core::endpoint const& node) const
+    {
+        return unresponsive_nodes_.count(node) != 0;
+    }
     std::size_t unresponsive_nodes() const
     {
         return unresponsive_nodes_.size();
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -147,12 +147,9 @@
                                         expects_long_response(),
                                         terms_.route->rank};
     // The view of the call does not state evacuations that began later.
-    auto const excluded = history_.excluded_upstreams(
-        *terms_.upstreams, ingress_->view_ != view_
-                               ? ingress_->view_->evacuated
-                               : std::set<core::data_centre>{});
     auto const found = ingress_->upstream_scores_.choose(
-        *terms_.upstreams, excluded, traits, now, ingress_->random_);
+        *terms_.upstreams, excluded_upstreams(), traits, now,
+        ingress_->random_);
     std::visit(core::overloaded{[&](balancing::chosen const& it) {
                                     if (!is_refused_at_first_node(it, now))
                                     {
@@ -168,6 +165,14 @@
                found);
 }
 
+std::set<core::upstream_id> call::excluded_upstreams() const
+{
+    return history_.excluded_upstreams(*terms_.upstreams,
+                                       ingress_->view_ != view_
+                                           ? ingress_->view_->evacuated
+                                           : std::set<core::data_centre>{});
+}
+
 // A call that has reached a worker is not refused here, since its response may
 // not state that it did not run.
 bool call::is_refused_at_first_node(balancing::chosen const& choice,
@@ -308,6 +313,40 @@
     attempt_.reset();
 }
 
+void call::abandon_attempt()
+{
+    attempt_->cancel();
+    close_attempt(balancing::outcome::abandoned);
+}
+
+void call::leave_unresponsive_node()
+{
+    auto& scores = ingress_->upstream_scores_;
+    if (finished_ || !attempt_ || !scores.is_unresponsive(upstream_->node))
+    {
+        return;
+    }
+    auto const now = core::boot_clock::now();
+    auto const result = attempt_->result_if_abandoned();
+    auto const step = decide_on_unresponsive_node(
+        history_.progress(*terms_.route,
+                          to_milliseconds(terms_.deadline - now)),
+        result.may_have_run);
+    auto const* const another = std::get_if<try_another>(&step);
+    if (another == nullptr ||
+        !scores.has_responsive(*terms_.upstreams, excluded_upstreams(), now) ||
+        (another->uses_retry_budget &&
+         !ingress_->retry_budget_.try_take(terms_.service, now)))
+    {
+        return;
+    }
+    abandon_attempt();
+    history_.record_end(result);
+    history_.record_step(*another, result, *upstream_);
+    core::add(ingress_->counters_->unresponsive_moved);
+    make_further_attempt(*another);
+}
+
 void call::on_attempt_ended(attempt_result const& result)
 {
     close_attempt(outcome_of(result));
@@ -342,6 +381,11 @@
             history_.retry_after());
         return;
     }
+    make_further_attempt(step);
+}
+
+void call::make_further_attempt(try_another const& step)
+{
     core::add(step.uses_retry_budget ? ingress_->counters_->retries
                                      : ingress_->counters_->redirects);
     log_move(terms_, history_, *upstream_, step.uses_retry_budget);
@@ -374,8 +418,7 @@
     }
     if (attempt_)
     {
-        attempt_->cancel();
-        close_attempt(balancing::outcome::abandoned);
+        abandon_attempt();
     }
     send_error({error_kind::deadline_passed,
                 "the call got no response within its timeout"},
@@ -393,8 +436,7 @@
                    core::boot_clock::now());
     if (attempt_)
     {
-        attempt_->cancel();
-        close_attempt(balancing::outcome::abandoned);
+        abandon_attempt();
     }
     finish();
 }
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -41,6 +41,9 @@
     void start();
     // Ends the call at this time if its deadline is later.
     void limit_deadline(core::instant deadline);
+    // Offers the call to another worker if its attempt is open at an
+    // unresponsive node and it may be offered again.
+    void leave_unresponsive_node();
 
 private:
     // Sets the terms of the call, and the headers that go to the worker.
@@ -52,6 +55,9 @@
     // false if there is none, so that the call is refused before it runs.
     bool reserve_response_memory();
     void try_next_upstream();
+    // Returns the upstreams that must not get the call, among them those in
+    // data centres that have been evacuated since the call began.
+    std::set<core::upstream_id> excluded_upstreams() const;
     // Returns whether the call is refused without an offer, because the
     // queues of all compared workers would refuse it.
     bool is_refused_at_first_node(balancing::chosen const& choice,
@@ -73,7 +79,11 @@
     void on_attempt_ended(attempt_result const& result);
     void apply(try_another const& step, attempt_result const& result);
     void apply(give_up const& step, attempt_result const& result);
+    // Offers the call again, after the retry budget has allowed it if needed.
+    void make_further_attempt(try_another const& step);
     void close_attempt(balancing::outcome outcome);
+    // Sends a cancel to the other node and closes the attempt.
+    void abandon_attempt();
 
     void start_deadline_timer();
     void on_deadline_passed();
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -20,6 +20,10 @@
 // retry delay.
 constexpr core::milliseconds default_retry_after{200};
 
+// How often open calls at unresponsive nodes are tried to move. The retry
+// budget, which may have been used up, grows with each request.
+constexpr core::milliseconds move_interval{50};
+
 balancing::choice_settings choice_settings_for(ingress_settings const& it)
 {
     balancing::choice_settings out;
@@ -41,7 +45,7 @@
       upstream_scores_(choice_settings_for(settings_)),
       retry_budget_(settings_.retry_budget),
       router_(settings_.max_nested_timeout), random_(settings_.seed),
-      incarnation_(random_.next())
+      move_timer_(context_), incarnation_(random_.next())
 {}
 
 core::result<void> ingress::listen()
@@ -93,11 +97,41 @@
                 scores.record_responsive(node, responsive);
                 self->counters_->unresponsive_nodes.store(
                     scores.unresponsive_nodes(), std::memory_order_relaxed);
+                if (!responsive)
+                {
+                    self->move_calls_from_unresponsive_nodes();
+                }
             }
         });
     return {};
 }
 
+void ingress::move_calls_from_unresponsive_nodes()
+{
+    // A call that ends removes itself from the set.
+    std::vector<std::shared_ptr<call>> calls;
+    for (auto* it : open_calls_)
+    {
+        calls.push_back(it->shared_from_this());
+    }
+    for (auto const& it : calls)
+    {
+        it->leave_unresponsive_node();
+    }
+    if (upstream_scores_.unresponsive_nodes() == 0)
+    {
+        return;
+    }
+    move_timer_.expires_after(move_interval);
+    move_timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code const& ec) {
+            if (auto const self = weak.lock(); self && !ec)
+            {
+                self->move_calls_from_unresponsive_nodes();
+            }
+        });
+}
+
 void ingress::set_view(std::shared_ptr<traffic_view const> view)
 {
     bool const new_routes = !view_ || view_->routes != view->routes;
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -13,6 +13,7 @@
 #include <set>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "balancing/upstream_scores.hpp"
 #include "core/memory_part.hpp"
@@ -96,6 +97,9 @@
 private:
     friend class call;
 
+    // Offers open calls at unresponsive nodes to other workers, as far as the
+    // retry budget allows, and does so again while there are such nodes.
+    void move_calls_from_unresponsive_nodes();
     // Returns the response that reports the error to the caller.
     http::response error_response(core::error const& why,
                                   core::milliseconds retry_after) const;
@@ -113,6 +117,8 @@
     retries::retry_budget retry_budget_;
     request_router router_;
     core::random_source random_;
+    // Set while a node is unresponsive.
+    boost::asio::steady_timer move_timer_;
     // Distinguishes the call ids of this process from those of other ones.
     core::incarnation const incarnation_;
     std::uint64_t last_call_number_ = 0;
--- a/src/ingress/next_step.cpp
+++ b/src/ingress/next_step.cpp
@@ -91,4 +91,16 @@
                       result);
 }
 
+unresponsive_node_step
+decide_on_unresponsive_node(call_progress const& progress, bool may_have_run)
+{
+    auto after = progress;
+    after.workers_reached += may_have_run ? 1 : 0;
+    auto const step =
+        decide_next_step(after, connection_lost{may_have_run, {}});
+    auto const* const another = std::get_if<try_another>(&step);
+    return another != nullptr ? unresponsive_node_step(*another)
+                              : unresponsive_node_step(keep_waiting{});
+}
+
 } // namespace yuccafall::ingress
--- a/src/ingress/next_step.hpp
+++ b/src/ingress/next_step.hpp
@@ -100,6 +100,18 @@
 next_step decide_next_step(call_progress const& progress,
                            attempt_result const& result);
 
+// The attempt stays open.
+struct keep_waiting
+{};
+using unresponsive_node_step = std::variant<keep_waiting, try_another>;
+
+// Decides about an open attempt at a node that has become unresponsive.
+// `may_have_run` is true if the node may have received the call with its body.
+// The attempt stays open if the call cannot be offered again, because the node
+// may only be slow. The next step counts this attempt as one that failed.
+unresponsive_node_step
+decide_on_unresponsive_node(call_progress const& progress, bool may_have_run);
+
 } // namespace yuccafall::ingress
 
 #endif
--- a/src/ingress/open_attempt.cpp
+++ b/src/ingress/open_attempt.cpp
@@ -48,4 +48,9 @@
     return connection_lost{it.may_have_arrived && body_sent_, it.reason};
 }
 
+connection_lost open_attempt::result_if_abandoned() const
+{
+    return {body_sent_, "the node is unresponsive"};
+}
+
 } // namespace yuccafall::ingress
--- a/src/ingress/open_attempt.hpp
+++ b/src/ingress/open_attempt.hpp
@@ -35,6 +35,8 @@
     attempt_result result_of(peers::refused const& it) const;
     attempt_result result_of(peers::failed const& it) const;
     attempt_result result_of(peers::connection_loss const& it) const;
+    // Returns how the attempt ends if it is given up now.
+    connection_lost result_if_abandoned() const;
 
 private:
     std::shared_ptr<peers::peer_links> links_;
--- a/src/ingress/tests/next_step_test.cpp
+++ b/src/ingress/tests/next_step_test.cpp
@@ -141,3 +141,29 @@
     REQUIRE(it.time_since_first_request(core::route_name("other"),
                                         milliseconds(400)) == milliseconds(0));
 }
+
+// Guards against a booking that runs twice because its node was only slow, and
+// against an attempt that is given up although no other one may follow.
+TEST_CASE("an attempt at an unresponsive node is given up only for another one")
+{
+    auto const gives_up = [](call_progress const& it, bool may_have_run) {
+        return std::holds_alternative<try_another>(
+            decide_on_unresponsive_node(it, may_have_run));
+    };
+    auto it = make_progress(repeatability::idempotent);
+    REQUIRE(gives_up(it, true));
+    it.workers_reached = 1;
+    REQUIRE_FALSE(gives_up(it, true));
+    REQUIRE(gives_up(it, false));
+    it.redirects = max_redirects;
+    REQUIRE_FALSE(gives_up(it, false));
+    it = make_progress(repeatability::idempotent);
+    it.remaining = it.expected_duration / 2;
+    REQUIRE_FALSE(gives_up(it, true));
+    for (auto const kind :
+         {repeatability::non_idempotent, repeatability::upload})
+    {
+        REQUIRE_FALSE(gives_up(make_progress(kind), true));
+        REQUIRE(gives_up(make_progress(kind), false));
+    }
+}
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -93,6 +93,8 @@
     core::endpoint readiness_endpoint(std::size_t vm) const;
     std::string log(std::size_t vm) const;
 
+    // Waits until the condition holds. Returns false after ten seconds.
+    static bool poll_until(std::function<bool()> const& condition);
     // Waits until the node is ready. Returns false after ten seconds.
     bool wait_until_ready(std::size_t vm);
     // Waits until the worker has begun to run a request. Returns false after
@@ -129,7 +131,6 @@
     };
 
     std::string make_settings(std::size_t vm) const;
-    bool poll_until(std::function<bool()> const& condition);
 
     std::string directory_;
     std::string additional_settings_;
--- a/stand_ins/tests/end_to_end_test.cpp
+++ b/stand_ins/tests/end_to_end_test.cpp
@@ -377,6 +377,34 @@
     REQUIRE(unknown_outcomes == 0);
 }
 
+// Guards against a call that waits at a failed node until its deadline although
+// another worker could run it. The paused node stands for one that has failed.
+TEST_CASE("an idempotent call leaves an unresponsive node")
+{
+    std::vector<vm_options> const vms{
+        {"a", "desk", 6, core::milliseconds(5)},
+        {"a", "shop", 6, core::milliseconds(3'000)},
+        {"a", "shop", 6, core::milliseconds(3'000)}};
+    running_deployment fleet(vms, {{"/look/", "idempotent", "shop"}});
+    std::thread caller([&] {
+        fleet.call(0, deployment::request("/look/", "l"),
+                   core::milliseconds(8'000));
+    });
+    auto const has_run = [&](std::size_t vm) {
+        return !fleet.worker(vm).counts().runs.empty();
+    };
+    REQUIRE(fleet.poll_until([&] { return has_run(1) || has_run(2); }));
+    std::size_t const first = has_run(1) ? 1 : 2;
+    fleet.node(first).pause();
+    bool const moved = fleet.poll_until([&] {
+        return has_run(3 - first);
+    }) && fleet.has_metric(0, "yuccafall_unresponsive_moved_total 1");
+    fleet.node(first).resume();
+    caller.join();
+    INFO(fleet.log(0));
+    REQUIRE(moved);
+}
+
 // Guards against new calls that are sent to a draining worker.
 TEST_CASE("a draining worker gets no new calls")
 {
