--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -93,6 +93,8 @@
     core::endpoint readiness_endpoint(std::size_t vm) const;
     std::string log(std::size_t vm) const;
 
+    // Waits until the condition holds. Returns false after ten seconds.
+    static bool poll_until(std::function<bool()> const& condition);
     // Waits until the node is ready. Returns false after ten seconds. The state
     // and the log of the node are then printed to the standard error.
     bool wait_until_ready(std::size_t vm);
@@ -130,7 +132,6 @@
     };
 
     std::string make_settings(std::size_t vm) const;
-    bool poll_until(std::function<bool()> const& condition);
     // Prints what the node was not, the last of the responses that said so,
     // whether the node's process runs, and the node's log.
     void report_node(std::size_t vm, std::string const& expected,
