Admission: Notice a second cold period by slow service times

A worker that became cold again during a stated cold time, or within 5 s of a health request for a slowdown, kept its full rate until its entry in the store showed it: the monitor sent at most one such request in 5 s.

If the most recent health response stated a cold time that has passed, one request is now sent within the 5 s too. The 300 ms between two requests remain. The 5 s to the next one count from this request.

The slowdown detector counts responses that are missing since the worker began to count as warm as usual ones, so that five slow responses suffice then as at any other time.

--- a/src/admission/slowdown_detector.cpp
+++ b/src/admission/slowdown_detector.cpp
@@ -84,14 +84,13 @@
 
 bool slowdown_detector::is_slow() const
 {
-    if (recent_.size() < settings_.recent_responses)
-    {
-        return false;
-    }
-    auto const sum =
-        std::accumulate(recent_.begin(), recent_.end(), 0.0,
-                        [](double n, auto const& it) { return n + it.ratio; });
-    return sum >= settings_.min_ratio * static_cast<double>(recent_.size());
+    // Responses that have not arrived yet count as usual ones.
+    auto const missing = settings_.recent_responses - recent_.size();
+    auto const sum = std::accumulate(
+        recent_.begin(), recent_.end(), static_cast<double>(missing),
+        [](double n, auto const& it) { return n + it.ratio; });
+    return sum >= settings_.min_ratio *
+                      static_cast<double>(settings_.recent_responses);
 }
 
 } // namespace yuccafall::admission
--- a/src/admission/slowdown_detector.hpp
+++ b/src/admission/slowdown_detector.hpp
@@ -33,7 +33,9 @@
     // this multiple of the usual ones. A cold worker takes twice as long.
     double min_ratio = 1.6;
     // Number of responses that count as recent. Five responses that take twice
-    // as long as usual, among this many, reach min_ratio.
+    // as long as usual, among this many, reach min_ratio. Until as many have
+    // arrived, the missing ones count as usual: waiting for them would let a
+    // worker that is cold again get too many calls.
     std::size_t recent_responses = 8;
     // A ratio above this counts as this much. One very slow response among
     // recent_responses does not make the worker slow.
--- a/src/admission/warm_up_monitor.cpp
+++ b/src/admission/warm_up_monitor.cpp
@@ -216,7 +216,7 @@
 void warm_up_monitor::on(service_slowed const&, core::instant now, actions& out)
 {
     bool const is_allowed =
-        !slow_requested_at_ ||
+        cold_time_stated_ || !slow_requested_at_ ||
         now - *slow_requested_at_ >= settings_.min_slow_request_interval;
     if (!is<warm>() || doubt_ || !is_allowed || !may_request(now))
     {
@@ -251,6 +251,7 @@
     request_wanted_ = false;
     if (is_cold)
     {
+        cold_time_stated_ = true;
         set_state(cold_until{now + it.cold_remaining},
                   warm_up_source::health_response, out);
         return;
@@ -306,6 +307,7 @@
     request_under_way_ = true;
     request_wanted_ = false;
     response_outdated_ = false;
+    cold_time_stated_ = false;
     doubt_.reset();
     out.emplace_back(request_health{});
 }
--- a/src/admission/warm_up_monitor.hpp
+++ b/src/admission/warm_up_monitor.hpp
@@ -5,7 +5,8 @@
 // requests to a worker pass through the node beside it, so this class alone
 // decides whether the cold rate is in force. The worker's health responses are
 // immediate and current, but costly. They are therefore requested only if an
-// event makes the state unknown, or if the worker has become slow. An entry in
+// event makes the state unknown, or if the worker has become slow, which is
+// also the only sign of a second cold period that no event shows. An entry in
 // the store may be seconds old; it can cause a health request but never ends
 // the cold rate.
 //
@@ -143,7 +144,8 @@
     // have crashed unnoticed, because no connection to it was in use.
     core::milliseconds max_silence{2'000};
     // Health requests because the worker has become slow are at least this far
-    // apart. A worker may be slow for another reason, and each request costs
+    // apart, except for one request after each cold time that the worker has
+    // stated. A worker may be slow for another reason, and each request costs
     // about a third of a response.
     core::milliseconds min_slow_request_interval{5'000};
 };
@@ -219,6 +221,9 @@
     std::optional<core::instant> requested_at_;
     // When the most recent one was sent because the worker had become slow.
     std::optional<core::instant> slow_requested_at_;
+    // The most recent health response stated a cold time, and no request was
+    // sent since. If the worker counts as warm, this time has passed.
+    bool cold_time_stated_ = false;
     bool request_under_way_ = false;
     // A doubt arose while the request was under way, so that its response may
     // be from before the worker became cold.
