Model: Let workers become cold again during a cold period

No pattern had a second cold period, so the model could not show what the rule for health requests after a cold time is worth.

The pattern second-cold-periods starts two cold periods of all workers, each within the one before it, after a power cut. The rule second-cold-period can be disabled in the model: the node then sends no health request for a slowdown within 5 s of another one.

--- a/bench/model/cold_patterns.cpp
+++ b/bench/model/cold_patterns.cpp
@@ -1,4 +1,4 @@
-// Defines the patterns in which workers are cold after an outage. The services,
+// Defines the patterns in which workers are cold. The services,
 // the requests and the callers are those of the pattern uneven-workers.
 #include "bench/model/deployment.hpp"
 
@@ -35,4 +35,13 @@
     return it;
 }
 
+// Each cold period begins during the one before it, and the last one less than
+// 5 s after the health request that shows the second.
+deployment make_second_cold_periods()
+{
+    auto it = make_cold_workers();
+    it.cold_starts_s = {9, 11.5};
+    return it;
+}
+
 } // namespace yuccafall::bench::model
--- a/bench/model/deployment.hpp
+++ b/bench/model/deployment.hpp
@@ -146,9 +146,12 @@
     std::vector<disturbance> disturbances;
     // Present if the services have a cold rate.
     std::optional<cold_behaviour> cold;
-    // Each of the two needs `cold`.
+    // Each of the three needs `cold`.
     std::vector<power_cut> power_cuts;
     std::vector<evacuation> evacuations;
+    // At these times, in seconds since the start, all workers become cold
+    // without an event, also if they are cold.
+    std::vector<double> cold_starts_s;
     // Callers send new requests for this long.
     double duration_s = 20;
 };
@@ -167,6 +170,7 @@
 // The patterns with cold workers.
 deployment make_cold_workers();
 deployment make_evacuation();
+deployment make_second_cold_periods();
 
 // Changes the number of workers to about the given one. Services keep their
 // shares of the workers, each gets at least one, and the request rate changes
--- a/bench/model/experiment.cpp
+++ b/bench/model/experiment.cpp
@@ -197,13 +197,17 @@
     {
         it.asks_slow_workers = false;
     }
+    else if (rule == "second-cold-period")
+    {
+        it.asks_after_cold_time = false;
+    }
     else if (!rule.empty())
     {
         return core::failure(
             core::error_kind::invalid_settings,
             "unknown rule; the rules are paced-bodies, paced-responses, "
             "free-slots, nested-first, even-load, first-node, cold-rate, "
-            "cold-reports, evacuation-doubt, slowdown");
+            "cold-reports, evacuation-doubt, slowdown, second-cold-period");
     }
     return it;
 }
--- a/bench/model/outages.cpp
+++ b/bench/model/outages.cpp
@@ -42,6 +42,22 @@
                  [this, i = it.data_centre_index] { end_evacuation(i); });
         ends_at_s_ = std::max(ends_at_s_, it.end_s);
     }
+    for (auto const start_s : spec_->cold_starts_s)
+    {
+        schedule(start_s, [this] { start_cold_periods(); });
+    }
+}
+
+void outages::start_cold_periods()
+{
+    for (auto const& it : *nodes_)
+    {
+        // A worker that is away returns cold in any case.
+        if (!it->worker->is_away(events_->now()))
+        {
+            it->worker->become_cold(events_->now());
+        }
+    }
 }
 
 void outages::start_warm_up(node& it)
@@ -52,7 +68,7 @@
         return;
     }
     it.warm_up = std::make_unique<owner_warm_up>(
-        *events_, *it.worker, rules_->asks_slow_workers,
+        *events_, *it.worker, *rules_,
         [this, to = &it](admission::cold_rate_changed const& e) {
             handlers_.handle_event(*to, e);
         });
--- a/bench/model/outages.hpp
+++ b/bench/model/outages.hpp
@@ -1,5 +1,5 @@
-// Simulates power cuts, evacuations and crashes of cold workers: what becomes
-// of the workers, and what the nodes beside them do about it.
+// Simulates power cuts, evacuations, cold periods and crashes of cold workers:
+// what becomes of the workers, and what the nodes beside them do about it.
 #ifndef YUCCAFALL_BENCH_MODEL_OUTAGES_HPP
 #define YUCCAFALL_BENCH_MODEL_OUTAGES_HPP
 
@@ -52,6 +52,8 @@
     void schedule(double s, std::function<void()> action);
     void start_evacuation(std::size_t data_centre_index);
     void end_evacuation(std::size_t data_centre_index);
+    // All workers that are not away become cold.
+    void start_cold_periods();
     // The worker ends, and its connections close. It returns cold.
     void crash(node& worker_node, core::duration away);
     // The worker got more requests than it can take while it is cold.
--- a/bench/model/owner_warm_up.cpp
+++ b/bench/model/owner_warm_up.cpp
@@ -39,11 +39,30 @@
 void owner_warm_up::record_answered_run(admission::answered_run const& it)
 {
     handle_event(admission::call_answered{});
-    if (detects_slowdowns_ &&
+    if (rules_->asks_slow_workers &&
         std::holds_alternative<admission::warm>(monitor_.state()) &&
         slowdown_detector_.observe(it, events_->now()))
     {
-        handle_event(admission::service_slowed{});
+        record_slowdown();
+    }
+}
+
+void owner_warm_up::record_slowdown()
+{
+    auto const now = events_->now();
+    bool const is_too_early =
+        slow_requested_at_ &&
+        now - *slow_requested_at_ <
+            admission::warm_up_settings{}.min_slow_request_interval;
+    if (is_too_early && !rules_->asks_after_cold_time)
+    {
+        return;
+    }
+    auto const requests_before = health_requests_;
+    handle_event(admission::service_slowed{});
+    if (health_requests_ > requests_before)
+    {
+        slow_requested_at_ = now;
     }
 }
 
--- a/bench/model/owner_warm_up.hpp
+++ b/bench/model/owner_warm_up.hpp
@@ -12,6 +12,7 @@
 #include "admission/warm_up_monitor.hpp"
 #include "bench/model/cold_worker.hpp"
 #include "bench/model/event_queue.hpp"
+#include "bench/model/simulation.hpp"
 
 namespace yuccafall::bench::model {
 
@@ -21,12 +22,10 @@
     using rate_handler =
         std::function<void(admission::cold_rate_changed const&)>;
 
-    // The worker and the events must outlive this object. Without
-    // `detects_slowdowns`, a slow worker is not asked whether it is cold.
+    // The worker, the events and the rules must outlive this object.
     owner_warm_up(event_queue& events, cold_worker const& worker,
-                  bool detects_slowdowns, rate_handler on_rate_changed)
-        : events_(&events), worker_(&worker),
-          detects_slowdowns_(detects_slowdowns),
+                  policy const& rules, rate_handler on_rate_changed)
+        : events_(&events), worker_(&worker), rules_(&rules),
           on_rate_changed_(std::move(on_rate_changed))
     {}
 
@@ -42,6 +41,7 @@
     std::uint64_t health_requests() const { return health_requests_; }
 
 private:
+    void record_slowdown();
     void handle_event(admission::warm_up_event const& it);
     void apply(admission::request_health const&);
     void apply(admission::state_changed const& it);
@@ -49,13 +49,15 @@
 
     event_queue* events_;
     cold_worker const* worker_;
-    bool detects_slowdowns_;
+    policy const* rules_;
     rate_handler on_rate_changed_;
     admission::warm_up_monitor monitor_;
     admission::slowdown_detector slowdown_detector_;
     bool has_lost_connections_ = false;
     bool calls_wait_ = false;
     std::uint64_t health_requests_ = 0;
+    // When a health request was last sent because of a slowdown.
+    std::optional<core::instant> slow_requested_at_;
     // Time of the earliest timer event that is scheduled.
     std::optional<core::instant> next_timer_;
 };
--- a/bench/model/patterns.cpp
+++ b/bench/model/patterns.cpp
@@ -371,6 +371,9 @@
          "one of four data centres is evacuated for 5 seconds, and its workers "
          "are cold then",
          make_evacuation},
+        {"second-cold-periods",
+         "the same as cold-workers, and the workers become cold again twice",
+         make_second_cold_periods},
     };
     return all;
 }
--- a/bench/model/simulation.hpp
+++ b/bench/model/simulation.hpp
@@ -47,6 +47,9 @@
     bool doubts_after_evacuation = true;
     // A worker that becomes slow is asked whether it is cold.
     bool asks_slow_workers = true;
+    // After a cold time that the worker has stated, it is asked at once if it
+    // is slow.
+    bool asks_after_cold_time = true;
 };
 
 // Results of callers' requests.
--- a/bench/model/tests/cold_patterns_test.cpp
+++ b/bench/model/tests/cold_patterns_test.cpp
@@ -50,6 +50,19 @@
     REQUIRE(without.cold_crashes == 0);
 }
 
+// Guards against workers that become cold again during their cold time and get
+// their full rate for seconds, because their nodes have asked them before.
+TEST_CASE("a request after each cold time ends crashes in second cold periods")
+{
+    auto const it = compare(resize(make_second_cold_periods(), workers),
+                            policy_without("second-cold-period").value(), 1, 4);
+    REQUIRE(it.warm_up.cold_crashes.mean +
+                it.warm_up.cold_crashes.half_interval <
+            it.warm_up_without.cold_crashes.mean -
+                it.warm_up_without.cold_crashes.half_interval);
+    REQUIRE(it.gain - it.half_interval > 0);
+}
+
 // Guards against workers of an evacuated data centre that still get requests,
 // and against a data centre that stays empty afterwards.
 TEST_CASE("an evacuated data centre costs no second of the served worth")
