--- a/bench/model/network.hpp
+++ b/bench/model/network.hpp
@@ -11,6 +11,12 @@
 
 namespace yuccafall::bench::model {
 
+// Size on the link of a request head or of a response without content.
+constexpr double short_message_bytes = 400;
+// A larger body is sent only after the worker's node has accepted the call and
+// requested the body.
+constexpr double max_inline_body_bytes = 8'192;
+
 class network
 {
 public:
