--- a/bench/soak/soak.hpp
+++ b/bench/soak/soak.hpp
@@ -41,6 +41,8 @@
     std::vector<std::string> logs;
 };
 
+void record_violation(soak_result& result, std::string what);
+
 soak_result run_soak(soak_options const& options);
 
 // Runs the soak test and prints a summary line and one line for each violation.
