--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -20,6 +20,10 @@
 // retry delay.
 constexpr core::milliseconds default_retry_after{200};
 
+// How often open calls at unresponsive nodes are tried to move. The retry
+// budget, which may have been used up, grows with each request.
+constexpr core::milliseconds move_interval{50};
+
 balancing::choice_settings choice_settings_for(ingress_settings const& it)
 {
     balancing::choice_settings out;
@@ -39,8 +43,9 @@
       header_codec_(header_codec), links_(std::move(links)),
       counters_(std::move(counters)), link_(std::move(link)),
       upstream_scores_(choice_settings_for(settings_)),
-      retry_budget_(settings_.retry_budget), random_(settings_.seed),
-      incarnation_(random_.next())
+      retry_budget_(settings_.retry_budget),
+      router_(settings_.max_nested_timeout), random_(settings_.seed),
+      move_timer_(context_), incarnation_(random_.next())
 {}
 
 core::result<void> ingress::listen()
@@ -92,11 +97,41 @@
                 scores.record_responsive(node, responsive);
                 self->counters_->unresponsive_nodes.store(
                     scores.unresponsive_nodes(), std::memory_order_relaxed);
+                if (!responsive)
+                {
+                    self->move_calls_from_unresponsive_nodes();
+                }
             }
         });
     return {};
 }
 
+void ingress::move_calls_from_unresponsive_nodes()
+{
+    // A call that ends removes itself from the set.
+    std::vector<std::shared_ptr<call>> calls;
+    for (auto* it : open_calls_)
+    {
+        calls.push_back(it->shared_from_this());
+    }
+    for (auto const& it : calls)
+    {
+        it->leave_unresponsive_node();
+    }
+    if (upstream_scores_.unresponsive_nodes() == 0)
+    {
+        return;
+    }
+    move_timer_.expires_after(move_interval);
+    move_timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code const& ec) {
+            if (auto const self = weak.lock(); self && !ec)
+            {
+                self->move_calls_from_unresponsive_nodes();
+            }
+        });
+}
+
 void ingress::set_view(std::shared_ptr<traffic_view const> view)
 {
     bool const new_routes = !view_ || view_->routes != view->routes;
@@ -116,7 +151,7 @@
     {
         return;
     }
-    weighted_split_.reset();
+    router_.reset_splits();
     auto const& limits = view_->routes->source_configuration().limits;
     auto settings = server_->settings();
     settings.sizes = {limits.max_header_bytes, limits.max_body_bytes};
@@ -127,7 +162,7 @@
 
 void ingress::start_draining(core::instant calls_end_at)
 {
-    calls_end_at_ = calls_end_at;
+    router_.start_draining(calls_end_at);
     server_->start_draining();
     for (auto* it : open_calls_)
     {
--- a/src/upstream/worker_owner.hpp
+++ b/src/upstream/worker_owner.hpp
@@ -10,10 +10,7 @@
 #ifndef YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 #define YUCCAFALL_UPSTREAM_WORKER_OWNER_HPP
 
-#include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
@@ -24,21 +21,23 @@
 #include "metadata/header_codec.hpp"
 #include "peers/peer_links.hpp"
 #include "peers/peer_server.hpp"
-#include "poison/crash_detector.hpp"
 #include "retries/local_runs.hpp"
 #include "transport/paced_link.hpp"
+#include "upstream/call_reporter.hpp"
+#include "upstream/call_table.hpp"
 #include "upstream/counters.hpp"
+#include "upstream/crash_monitor.hpp"
 #include "upstream/load_publisher.hpp"
-#include "upstream/local_workers.hpp"
 #include "upstream/pending_starts.hpp"
+#include "upstream/rate_statements.hpp"
+#include "upstream/rejection_share.hpp"
+#include "upstream/worker_availability.hpp"
 #include "upstream/worker_client.hpp"
+#include "upstream/worker_runs.hpp"
 #include "upstream/worker_warm_up.hpp"
 
 namespace yuccafall::upstream {
 
-using peers::reply_function;
-using session_id = peers::session_id;
-
 struct worker_owner_settings
 {
     core::endpoint worker_endpoint;
@@ -54,15 +53,6 @@
     std::shared_ptr<core::memory_part> response_memory;
 };
 
-// Where a statement about the rate of the local worker comes from.
-enum class rate_source
-{
-    response,
-    rejection,
-    // Another node's offer, which repeats what the worker stated earlier.
-    offer,
-};
-
 // The session of calls from this node's own callers to the local worker. They
 // cross no network link.
 inline constexpr session_id local_session{0};
@@ -72,7 +62,7 @@
 class worker_owner : public std::enable_shared_from_this<worker_owner>
 {
 public:
-    using poison_notice_handler = std::function<void(poison::notice const&)>;
+    using poison_notice_handler = crash_monitor::notice_handler;
 
     // The handler is called for each request that was running in the worker
     // when the worker crashed, and for each suspect that has completed.
@@ -104,26 +94,6 @@
     balancing::load_report load() const;
 
 private:
-    // A call that waits, is about to be sent to the worker, or runs.
-    struct call_entry
-    {
-        session_id session;
-        peers::offer offer;
-        reply_function reply;
-        core::instant deadline;
-        poison::fingerprint fingerprint;
-        // Empty until the call is sent to the worker.
-        std::optional<worker_run> run;
-        core::instant started_at{};
-        bool canceled = false;
-        // The worker does not have the call, and no response will come.
-        bool lost = false;
-    };
-    // Identifies a call within this class. Each offer gets a new key, so that
-    // calls are told apart even if two sessions use the same call id by
-    // mistake.
-    using call_key = core::call_id;
-
     void on(session_id from, peers::offer& offer, reply_function reply);
     void on(session_id from, peers::body_data& it);
     void on(session_id from, peers::cancel const& it);
@@ -135,31 +105,18 @@
     void apply(admission::call_lost const& it);
     void handle_event(admission::event const& it);
     void set_queue_timer();
-    // Records what the end of a run shows of the worker's warm-up.
-    void record_contact(worker_outcome const& outcome, call_entry const& call);
 
-    void start_run(call_key const& key, call_entry& call);
+    void start_run(call_key const& key);
     void on_run_ended(call_key const& key, worker_outcome outcome);
     void report_outcome(call_entry& call, worker_answered& outcome);
     void report_outcome(call_entry& call, worker_rejected& outcome);
     void report_outcome(call_entry& call, worker_unreachable& outcome);
     void report_outcome(call_entry& call, worker_failed& outcome);
-    void refuse(call_entry const& call, core::error_kind kind,
-                core::milliseconds retry_after, bool reached_worker);
     void cancel(call_key const& key, call_entry& call);
     // Refuses waiting calls and new calls with this kind from now on, and those
     // that the queue has started but that have not been sent to the worker.
     void start_refusing(core::error_kind kind);
     void refuse_pending_start(call_key const& key, core::error_kind kind);
-    // Removes a call that has not been sent to the worker.
-    call_entry remove_unsent(call_key const& key);
-    // Records whether the worker turned a call away or left it without a
-    // response.
-    void update_rejection_share(bool rejected);
-    // Returns whether the call has run for so long that its worker should have
-    // responded.
-    bool is_overdue(call_entry const& call) const;
-    bool has_stated_leaving(core::upstream_id const& upstream) const;
     void record_leaving(core::upstream_id const& upstream);
     // Tells the queue whether any worker may get calls.
     void update_queue_draining();
@@ -167,36 +124,24 @@
     void update_rate(core::upstream_id const& upstream,
                      core::stated_rate const& rate, rate_source source);
     core::duration link_backlog() const;
-    void check_for_crash(poison::fingerprint const& request);
 
     boost::asio::steady_timer queue_timer_;
     // When the timer expires, or zero if it is not set.
     core::instant queue_timer_due_{};
-    metadata::header_codec header_codec_;
     std::shared_ptr<worker_client> worker_client_;
+    worker_runs runs_;
     admission::slot_queue queue_;
     std::shared_ptr<worker_warm_up> warm_up_;
-    local_workers workers_;
-    std::map<call_key, call_entry> calls_;
-    // Maps the call id that a session uses to the key of the call.
-    std::map<std::pair<session_id, core::call_id>, call_key> call_keys_;
-    std::uint64_t last_call_key_ = 0;
+    worker_availability availability_;
+    call_table calls_;
     // Invariant: each of these calls is in calls_, has no run, and holds a slot
     // of queue_.
     std::shared_ptr<pending_starts> pending_starts_;
     std::shared_ptr<load_publisher> load_publisher_;
-    std::shared_ptr<retries::local_runs> local_runs_;
-    poison::crash_detector crash_detector_;
-    poison_notice_handler on_poison_notice_;
-    // The worker that has stated the rate in use.
-    core::upstream_id rate_stated_by_;
-    // Moving average of the share of calls that the worker rejected or left
-    // without a response, from 0 to 1.
-    double rejection_share_ = 0;
-    // Offers are refused before this time, because the worker has refused a
-    // connection.
-    core::instant unreachable_until_{};
-    bool draining_ = false;
+    std::shared_ptr<crash_monitor> crash_monitor_;
+    rate_statements rate_statements_;
+    rejection_share rejection_share_;
+    call_reporter reporter_;
     std::shared_ptr<counters> counters_;
     // Paces the long responses of this VM. Null if its bandwidth is not known.
     std::shared_ptr<transport::paced_link> link_;
