Transport: Do not count a connection as idle while a long frame arrives

Only complete frames counted as activity. The receiver of a complete state of 13 MB closed its control connection after 6 s, so that it never got the state over a link of less than 2.2 MB/s.

The parts of a long frame count as activity as long as the frame arrives at 32 kB/s on average, the rate below which it may lose its memory to others. Connections without a memory part behave as before.

Measured: a frame of 500 kB that arrives within 1.5 s with an idle timeout of 1 s ended the connection before and is received now. A frame of which single bytes arrive ends it before and now. test_transport, test_node, test_peers and test_stand_ins pass.

--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -373,6 +373,7 @@
     }
     if (!*frame || !open_)
     {
+        record_arriving_frame();
         return false;
     }
     admitted_frame_ = 0;
--- a/src/transport/frame_connection.hpp
+++ b/src/transport/frame_connection.hpp
@@ -30,7 +30,9 @@
 struct connection_options
 {
     // A connection is closed after this long without a frame in either
-    // direction. Zero disables the timeout.
+    // direction. The parts of a long frame count while it arrives, unless the
+    // peer sends it so slowly that it may lose its memory to others. Zero
+    // disables the timeout.
     core::milliseconds idle_timeout{0};
     // Maximum size of the send queue. A peer that does not read is disconnected
     // instead of being buffered for without limit. The default has room for one
@@ -147,6 +149,8 @@
     bool handle_read(std::size_t n);
     void handle_written(std::size_t n);
     void record_activity();
+    // Counts a part of a frame as activity, if the frame makes progress.
+    void record_arriving_frame();
     void check_idle_timeout();
     void start_write_check(core::duration delay);
     void check_write_progress();
--- a/src/transport/frame_connection_memory.cpp
+++ b/src/transport/frame_connection_memory.cpp
@@ -69,6 +69,15 @@
     close({core::error_kind::io, "the memory for frames is used up"});
 }
 
+void frame_connection::record_arriving_frame()
+{
+    if (admitted_frame_ > max_unpaced_message.value() &&
+        !core::is_slow(progress(), core::boot_clock::now()))
+    {
+        record_activity();
+    }
+}
+
 bool frame_connection::has_room_for_frame()
 {
     auto const length = reader_.frame_length();
--- a/src/transport/tests/frame_connection_test.cpp
+++ b/src/transport/tests/frame_connection_test.cpp
@@ -288,6 +288,50 @@
     REQUIRE_FALSE(net.server->open());
 }
 
+// Guards against a complete state that never arrives over a slow link, since
+// its transfer takes longer than the idle timeout.
+TEST_CASE("a connection is not idle while a long frame arrives")
+{
+    acceptor_options options = options_with(make_memory());
+    options.connection.idle_timeout = core::milliseconds(1'000);
+    loopback net(options);
+    auto peer = raw_socket(net);
+    send_raw(peer, framed(std::string(1, '\1')));
+    auto const bytes = framed(std::string(500'000, 'x'));
+    constexpr std::size_t part = 50'000;
+    for (std::size_t at = 0; at < bytes.size(); at += part)
+    {
+        send_raw(peer, bytes.substr(at, part));
+        net.context.restart();
+        net.context.run_for(std::chrono::milliseconds(150));
+    }
+    net.run_until(
+        [&] { return net.server_closed || net.received_frames.size() == 1; });
+    REQUIRE_FALSE(net.server_closed);
+    peer.close();
+    net.run_until([&] { return net.server_closed.has_value(); });
+}
+
+// Guards against a peer that keeps a connection by single bytes of a frame.
+TEST_CASE("a connection is idle while a long frame hardly arrives")
+{
+    acceptor_options options = options_with(make_memory());
+    options.connection.idle_timeout = core::milliseconds(300);
+    loopback net(options);
+    auto peer = raw_socket(net);
+    send_raw(peer, framed(std::string(1, '\1')));
+    auto const bytes = framed(std::string(500'000, 'x'));
+    std::size_t sent = 0;
+    while (!net.server_closed && sent < bytes.size())
+    {
+        send_raw(peer, bytes.substr(sent++, 1));
+        net.context.restart();
+        net.context.run_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(net.server_closed);
+    REQUIRE(net.server_closed->detail == "idle timeout");
+}
+
 TEST_CASE(
     "connections over the limit are closed and a closed one frees its place")
 {
