Ingress, Peers: Eject the workers of a lost node whose calls have left it

Found in review. Calls that leave an unresponsive node report no failure, so that its workers were not ejected when its connection was closed 1 s later, and new calls went there again. The link now reports the node as lost, and ingress ejects its workers.

A call is given up only after its next worker has been chosen: it could be refused at the first node, or as a request that crashes workers, after it had been canceled. The retry budget is asked before a worker is chosen, and calls are moved from a timer of their own and not within the report of the link.

--- a/src/balancing/upstream_scores.cpp
+++ b/src/balancing/upstream_scores.cpp
@@ -118,6 +118,21 @@
     {
         return;
     }
+    eject(state, now);
+}
+
+void upstream_scores::record_node_lost(core::upstream_id const& id,
+                                       core::instant now)
+{
+    auto const found = states_.find(id);
+    if (found != states_.end() && found->second.ejected_until <= now)
+    {
+        eject(found->second, now);
+    }
+}
+
+void upstream_scores::eject(upstream_state& state, core::instant now) const
+{
     state.ejection_time =
         std::clamp(state.ejection_time * 2, settings_.min_ejection,
                    settings_.max_ejection);
@@ -186,13 +201,6 @@
     return out;
 }
 
-bool upstream_scores::has_responsive(std::vector<upstream> const& upstreams,
-                                     std::set<core::upstream_id> const& tried,
-                                     core::instant now) const
-{
-    return !responsive(eligible(upstreams, tried, now)).empty();
-}
-
 bool upstream_scores::is_ejected(core::upstream_id const& id,
                                  core::instant now) const
 {
--- a/src/balancing/upstream_scores.hpp
+++ b/src/balancing/upstream_scores.hpp
@@ -175,6 +175,10 @@
     // Records that the worker has stated in a response that it leaves. It is
     // not chosen again.
     void record_leaving(upstream const& it, core::instant now);
+    // Records that the connection to the node beside the worker was closed
+    // because the node did not respond. Ejects the worker, unless the failure
+    // of a call has done so already.
+    void record_node_lost(core::upstream_id const& id, core::instant now);
 
     // Removes the state of workers that are not listed any more.
     void remove_unlisted(std::set<core::upstream_id> const& listed);
@@ -183,11 +187,6 @@
     // unresponsive node get no calls while another upstream can be chosen. This
     // is not an ejection, and changes no count of failures.
     void record_responsive(core::endpoint const& node, bool responsive);
-    // Returns whether an upstream that has not been tried and whose node is not
-    // unresponsive may get a call.
-    bool has_responsive(std::vector<upstream> const& upstreams,
-                        std::set<core::upstream_id> const& tried,
-                        core::instant now) const;
     bool is_unresponsive(core::endpoint const& node) const
     {
         return unresponsive_nodes_.count(node) != 0;
@@ -243,6 +242,7 @@
     // Returns whether the other nodes are expected to send calls to the same
     // workers before the next load report. If they send less than one, a report
     // holds until the next one, and the fastest worker is chosen.
+    void eject(upstream_state& state, core::instant now) const;
     bool spreads_load() const;
     // Returns the index of the worker to which a call goes that need not wait
     // at the candidate `best`.
--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -129,10 +129,7 @@
 
 void call::try_next_upstream()
 {
-    // Another node may have reported a crash since the last attempt.
-    if (ingress_->view_->poisoned.size() > view_->poisoned.size() &&
-        is_poisoned(*ingress_->view_, request_.method, request_.target,
-                    request_.body))
+    if (is_poisoned_meanwhile())
     {
         send_error({error_kind::poisoned,
                     "the request crashes the workers that run it"},
@@ -140,16 +137,6 @@
         return;
     }
     auto const now = core::boot_clock::now();
-    balancing::call_traits const traits{terms_.route->name,
-                                        core::byte_count(request_.body.size()),
-                                        sends_body_separately(request_),
-                                        terms_.nested,
-                                        expects_long_response(),
-                                        terms_.route->rank};
-    // The view of the call does not state evacuations that began later.
-    auto const found = ingress_->upstream_scores_.choose(
-        *terms_.upstreams, excluded_upstreams(), traits, now,
-        ingress_->random_);
     std::visit(core::overloaded{[&](balancing::chosen const& it) {
                                     if (!is_refused_at_first_node(it, now))
                                     {
@@ -162,15 +149,32 @@
                                          "every listed worker has been tried"},
                                         history_.retry_after());
                                 }},
-               found);
+               choose_upstream(now));
+}
+
+bool call::is_poisoned_meanwhile() const
+{
+    return ingress_->view_->poisoned.size() > view_->poisoned.size() &&
+           is_poisoned(*ingress_->view_, request_.method, request_.target,
+                       request_.body);
 }
 
-std::set<core::upstream_id> call::excluded_upstreams() const
+balancing::choice call::choose_upstream(core::instant now)
 {
-    return history_.excluded_upstreams(*terms_.upstreams,
-                                       ingress_->view_ != view_
-                                           ? ingress_->view_->evacuated
-                                           : std::set<core::data_centre>{});
+    balancing::call_traits const traits{terms_.route->name,
+                                        core::byte_count(request_.body.size()),
+                                        sends_body_separately(request_),
+                                        terms_.nested,
+                                        expects_long_response(),
+                                        terms_.route->rank};
+    // The view of the call does not state evacuations that began later.
+    auto const evacuated = ingress_->view_ != view_
+                               ? ingress_->view_->evacuated
+                               : std::set<core::data_centre>{};
+    return ingress_->upstream_scores_.choose(
+        *terms_.upstreams,
+        history_.excluded_upstreams(*terms_.upstreams, evacuated), traits, now,
+        ingress_->random_);
 }
 
 // A call that has reached a worker is not refused here, since its response may
@@ -333,18 +337,28 @@
                           to_milliseconds(terms_.deadline - now)),
         result.may_have_run);
     auto const* const another = std::get_if<try_another>(&step);
-    if (another == nullptr ||
-        !scores.has_responsive(*terms_.upstreams, excluded_upstreams(), now) ||
-        (another->uses_retry_budget &&
-         !ingress_->retry_budget_.try_take(terms_.service, now)))
+    auto& budget = ingress_->retry_budget_;
+    if (another == nullptr || is_poisoned_meanwhile() ||
+        (another->uses_retry_budget && !budget.may_take(terms_.service, now)))
     {
         return;
     }
+    auto const choice = choose_upstream(now);
+    auto const* const next = std::get_if<balancing::chosen>(&choice);
+    if (next == nullptr || scores.is_unresponsive(next->target->node))
+    {
+        return;
+    }
+    if (another->uses_retry_budget)
+    {
+        budget.try_take(terms_.service, now);
+    }
     abandon_attempt();
     history_.record_end(result);
     history_.record_step(*another, result, *upstream_);
     core::add(ingress_->counters_->unresponsive_moved);
-    make_further_attempt(*another);
+    record_further_attempt(*another);
+    send_offer(*next);
 }
 
 void call::on_attempt_ended(attempt_result const& result)
@@ -381,15 +395,15 @@
             history_.retry_after());
         return;
     }
-    make_further_attempt(step);
+    record_further_attempt(step);
+    try_next_upstream();
 }
 
-void call::make_further_attempt(try_another const& step)
+void call::record_further_attempt(try_another const& step)
 {
     core::add(step.uses_retry_budget ? ingress_->counters_->retries
                                      : ingress_->counters_->redirects);
     log_move(terms_, history_, *upstream_, step.uses_retry_budget);
-    try_next_upstream();
 }
 
 void call::apply(give_up const& step, attempt_result const&)
--- a/src/ingress/call.hpp
+++ b/src/ingress/call.hpp
@@ -6,7 +6,7 @@
 //   that is a new call.
 // - An offer is the message by which this node asks the node beside a worker to
 //   run the call. Each offer begins an attempt, which ends with a response, a
-//   refusal, a failure or the loss of the connection.
+//   refusal, a failure or the loss of the connection, or is given up.
 // - A retry is a further attempt after one that reached a worker. It counts
 //   against the retry budget. A redirect is a further attempt after one that
 //   reached no worker, unless the offer was refused because it required a
@@ -55,9 +55,10 @@
     // false if there is none, so that the call is refused before it runs.
     bool reserve_response_memory();
     void try_next_upstream();
-    // Returns the upstreams that must not get the call, among them those in
-    // data centres that have been evacuated since the call began.
-    std::set<core::upstream_id> excluded_upstreams() const;
+    // Returns whether another node has reported, since the call began, that the
+    // request crashes workers.
+    bool is_poisoned_meanwhile() const;
+    balancing::choice choose_upstream(core::instant now);
     // Returns whether the call is refused without an offer, because the
     // queues of all compared workers would refuse it.
     bool is_refused_at_first_node(balancing::chosen const& choice,
@@ -79,8 +80,8 @@
     void on_attempt_ended(attempt_result const& result);
     void apply(try_another const& step, attempt_result const& result);
     void apply(give_up const& step, attempt_result const& result);
-    // Offers the call again, after the retry budget has allowed it if needed.
-    void make_further_attempt(try_another const& step);
+    // Counts and logs an attempt that follows another one.
+    void record_further_attempt(try_another const& step);
     void close_attempt(balancing::outcome outcome);
     // Sends a cancel to the other node and closes the attempt.
     void abandon_attempt();
--- a/src/ingress/counters.hpp
+++ b/src/ingress/counters.hpp
@@ -69,7 +69,8 @@
     core::counter unresponsive_nodes{0};
     // Offers that would have gone to an unresponsive node.
     core::counter unresponsive_avoided{0};
-    // Calls whose attempt at an unresponsive node was given up for another.
+    // Calls that were offered to another worker instead of waiting longer for
+    // an unresponsive node.
     core::counter unresponsive_moved{0};
     // Attempts after one that reached a worker.
     core::counter retries{0};
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -20,8 +20,8 @@
 // retry delay.
 constexpr core::milliseconds default_retry_after{200};
 
-// How often open calls at unresponsive nodes are tried to move. The retry
-// budget, which may have been used up, grows with each request.
+// How often the node tries to move open calls away from unresponsive nodes. The
+// retry budget, which may have been used up, grows with each request.
 constexpr core::milliseconds move_interval{50};
 
 balancing::choice_settings choice_settings_for(ingress_settings const& it)
@@ -90,48 +90,88 @@
             }
         });
     links_->on_liveness_change(
-        [weak = weak_from_this()](core::endpoint const& node, bool responsive) {
+        [weak = weak_from_this()](core::endpoint const& node,
+                                  peers::node_contact contact) {
             if (auto const self = weak.lock())
             {
-                auto& scores = self->upstream_scores_;
-                scores.record_responsive(node, responsive);
-                self->counters_->unresponsive_nodes.store(
-                    scores.unresponsive_nodes(), std::memory_order_relaxed);
-                if (!responsive)
-                {
-                    self->move_calls_from_unresponsive_nodes();
-                }
+                self->on_contact_changed(node, contact);
             }
         });
     return {};
 }
 
-void ingress::move_calls_from_unresponsive_nodes()
+void ingress::on_contact_changed(core::endpoint const& node,
+                                 peers::node_contact contact)
 {
-    // A call that ends removes itself from the set.
-    std::vector<std::shared_ptr<call>> calls;
-    for (auto* it : open_calls_)
+    upstream_scores_.record_responsive(
+        node, contact != peers::node_contact::unresponsive);
+    counters_->unresponsive_nodes.store(upstream_scores_.unresponsive_nodes(),
+                                        std::memory_order_relaxed);
+    switch (contact)
     {
-        calls.push_back(it->shared_from_this());
+    case peers::node_contact::responsive:
+        return;
+    case peers::node_contact::unresponsive:
+        schedule_move({});
+        return;
+    case peers::node_contact::lost:
+        eject_workers_beside(node);
+        return;
     }
-    for (auto const& it : calls)
+}
+
+// The calls at the node have left it, so that none of them reports that the
+// node is unreachable.
+void ingress::eject_workers_beside(core::endpoint const& node)
+{
+    auto const now = core::boot_clock::now();
+    for (auto const& [service, workers] : view_->upstreams)
     {
-        it->leave_unresponsive_node();
+        for (auto const& it : workers)
+        {
+            if (it.node == node)
+            {
+                upstream_scores_.record_node_lost(it.id, now);
+            }
+        }
     }
-    if (upstream_scores_.unresponsive_nodes() == 0)
+}
+
+void ingress::schedule_move(core::milliseconds delay)
+{
+    if (std::exchange(move_scheduled_, true))
     {
         return;
     }
-    move_timer_.expires_after(move_interval);
+    move_timer_.expires_after(delay);
     move_timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code const& ec) {
             if (auto const self = weak.lock(); self && !ec)
             {
+                self->move_scheduled_ = false;
                 self->move_calls_from_unresponsive_nodes();
             }
         });
 }
 
+void ingress::move_calls_from_unresponsive_nodes()
+{
+    // A call that ends removes itself from the set.
+    std::vector<std::shared_ptr<call>> calls;
+    for (auto* it : open_calls_)
+    {
+        calls.push_back(it->shared_from_this());
+    }
+    for (auto const& it : calls)
+    {
+        it->leave_unresponsive_node();
+    }
+    if (upstream_scores_.unresponsive_nodes() != 0)
+    {
+        schedule_move(move_interval);
+    }
+}
+
 void ingress::set_view(std::shared_ptr<traffic_view const> view)
 {
     bool const new_routes = !view_ || view_->routes != view->routes;
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -92,11 +92,20 @@
     {
         return server_->last_request_received_at();
     }
-    void stop() { server_->stop(); }
+    void stop()
+    {
+        server_->stop();
+        move_timer_.cancel();
+    }
 
 private:
     friend class call;
 
+    void on_contact_changed(core::endpoint const& node,
+                            peers::node_contact contact);
+    void eject_workers_beside(core::endpoint const& node);
+    // Moves calls after the delay, unless that is scheduled already.
+    void schedule_move(core::milliseconds delay);
     // Offers open calls at unresponsive nodes to other workers, as far as the
     // retry budget allows, and does so again while there are such nodes.
     void move_calls_from_unresponsive_nodes();
@@ -117,8 +126,9 @@
     retries::retry_budget retry_budget_;
     request_router router_;
     core::random_source random_;
-    // Set while a node is unresponsive.
+    // Runs while a node is unresponsive.
     boost::asio::steady_timer move_timer_;
+    bool move_scheduled_ = false;
     // Distinguishes the call ids of this process from those of other ones.
     core::incarnation const incarnation_;
     std::uint64_t last_call_number_ = 0;
--- a/src/peers/node_liveness.hpp
+++ b/src/peers/node_liveness.hpp
@@ -1,7 +1,8 @@
 // Decides whether a node is unresponsive: it has sent no byte over any of its
 // links for some time although a ping was sent to it. A node may be slow
-// without having failed, so its connections stay open, and only new calls avoid
-// it (see balancing/upstream_scores).
+// without having failed, so its connections stay open. New calls avoid it (see
+// balancing/upstream_scores), and open calls that may be offered again leave it
+// (see ingress/next_step).
 #ifndef YUCCAFALL_PEERS_NODE_LIVENESS_HPP
 #define YUCCAFALL_PEERS_NODE_LIVENESS_HPP
 
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -246,7 +246,8 @@
         }
         if (owner_.liveness)
         {
-            owner_.liveness(key_.node, responsive);
+            owner_.liveness(key_.node, responsive ? node_contact::responsive
+                                                  : node_contact::unresponsive);
         }
     }
 
@@ -335,13 +336,12 @@
             node_->record_call_closed();
             it.handlers.disconnected({it.sent, reason});
         }
-        // The calls have reported a failure. The peer_lost line stands for this
-        // change.
+        // The peer_lost line stands for this change.
         if (was_connected &&
             node_->record_connection_lost(core::boot_clock::now()) &&
             owner_.liveness)
         {
-            owner_.liveness(key_.node, true);
+            owner_.liveness(key_.node, node_contact::lost);
         }
     }
 
--- a/src/peers/peer_links.hpp
+++ b/src/peers/peer_links.hpp
@@ -87,6 +87,16 @@
 // handlers of its call.
 //
 // Each instance must be used only on the thread that runs its io_context.
+// What is known of a node to which calls are sent.
+enum class node_contact
+{
+    responsive,
+    unresponsive,
+    // The connection to an unresponsive node has been closed. Whether the node
+    // responds shows with the next connection.
+    lost,
+};
+
 class peer_links
 {
 public:
@@ -96,9 +106,9 @@
     using local_message_handler = std::function<void(message, reply_function)>;
     using load_handler = std::function<void(core::upstream_id const&,
                                             balancing::load_report const&)>;
-    // Called when a node becomes unresponsive, and when it is responsive again.
+    // Called when a node becomes unresponsive, and when it no longer is.
     using liveness_handler =
-        std::function<void(core::endpoint const& node, bool responsive)>;
+        std::function<void(core::endpoint const& node, node_contact contact)>;
 
     peer_links(boost::asio::io_context& context, core::endpoint self,
                local_message_handler handle_local_message,
