Review: Show that answers of readers that keep up are thrown away

Cause: a long response makes room by closing the connections of others, and calls are admitted without memory for their answers.

--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -441,17 +441,29 @@
 
 std::string store::range(std::string const& after)
 {
+    constexpr std::size_t max_items = 500;
+    constexpr std::size_t max_bytes = 1'000'000;
     std::lock_guard const lock(mutex_);
     std::string out;
-    for (auto const& [key, it] : items_)
+    std::size_t count = 0;
+    bool truncated = false;
+    for (auto it = items_.upper_bound(after); it != items_.end(); ++it)
     {
-        if (key > after && !it.deleted)
+        if (it->second.deleted)
+        {
+            continue;
+        }
+        if (count == max_items || out.size() > max_bytes)
         {
-            out += (out.empty() ? "" : ",") + json(key, it);
+            truncated = true;
+            break;
         }
+        out += (out.empty() ? "" : ",") + json(it->first, it->second);
+        ++count;
     }
     return "{\"items\":[" + out +
-           "],\"truncated\":false,\"as_of\":" + std::to_string(revision_) + "}";
+           "],\"truncated\":" + (truncated ? "true" : "false") +
+           ",\"as_of\":" + std::to_string(revision_) + "}";
 }
 
 std::string store::watch(std::uint64_t after, double wait)
--- a/review/lab-2/uploads.cpp
+++ b/review/lab-2/uploads.cpp
@@ -15,7 +15,7 @@
 constexpr int memory_limit_mb = 260;
 constexpr std::uint64_t mebibyte = 1024 * 1024;
 // Below the max_body_bytes of the configuration, which is 64 MiB.
-constexpr std::uint64_t body_size = 51 * mebibyte;
+constexpr std::uint64_t body_size = 50 * mebibyte;
 constexpr double work_time = 0.6;
 constexpr int timeout_ms = 3'000;
 constexpr int bursts = 13;
