Review: Make the stand-ins pass the linter

Cause: scripts/lint checks every source file of the repository. Evidence: clang-tidy reported the stand-ins of the new cases. Result: it reports nothing; the cases do the same as before.

--- a/review/lab-2/crowd.cpp
+++ b/review/lab-2/crowd.cpp
@@ -56,6 +56,7 @@
     auto const where = choose_layout(machines);
     store platform(where.store_ip, where.store);
     std::vector<std::unique_ptr<worker>> workers;
+    workers.reserve(machines.size());
     std::vector<std::unique_ptr<node>> nodes;
     for (auto const& it : machines)
     {
@@ -129,6 +130,7 @@
     }
     results.clear();
     std::vector<std::thread> threads;
+    threads.reserve(clients);
     std::atomic<std::size_t> next{0};
     for (int k = 0; k < (trouble ? clients : few); ++k)
     {
--- a/review/lab-2/foreign.cpp
+++ b/review/lab-2/foreign.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::uint64_t mebibyte = 1024 * 1024;
+constexpr std::uint64_t mebibyte = 1024UL * 1024;
 constexpr int memory_limit_mb = 260;
 // The value_bytes of the settings, the most that an item holds.
 constexpr std::size_t entry_size = 1'048'576;
@@ -54,6 +54,7 @@
     where.memory_mb = memory_limit_mb;
     store platform(where.store_ip, where.store);
     std::vector<std::unique_ptr<worker>> workers;
+    workers.reserve(machines.size());
     std::vector<std::unique_ptr<node>> nodes;
     std::vector<std::unique_ptr<supervisor>> supervisors;
     auto const start_worker = [&](machine const& it, std::string const& id) {
--- a/review/lab-2/kept.cpp
+++ b/review/lab-2/kept.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int memory_limit_mb = 260;
-constexpr std::uint64_t mebibyte = 1024 * 1024;
+constexpr std::uint64_t mebibyte = 1024UL * 1024;
 constexpr std::size_t response_size = 2 * mebibyte;
 constexpr double work_time = 0.06;
 constexpr int timeout_ms = 3'000;
@@ -54,6 +54,7 @@
     where.memory_mb = memory_limit_mb;
     store platform(where.store_ip, where.store);
     std::vector<std::unique_ptr<worker>> workers;
+    workers.reserve(machines.size());
     std::vector<std::unique_ptr<node>> nodes;
     std::vector<std::unique_ptr<supervisor>> supervisors;
     for (auto const& it : machines)
--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -268,7 +268,7 @@
         timed_out = true;
         return false;
     }
-    std::string part(256 * 1024, '\0');
+    std::string part(256UL * 1024, '\0');
     auto const n = ::recv(fd_, &part[0], part.size(), MSG_DONTWAIT);
     if (n <= 0)
     {
@@ -374,7 +374,7 @@
     return fd;
 }
 
-store::store(std::string ip, int port) : listener_(listen_at(ip, port))
+store::store(std::string const& ip, int port) : listener_(listen_at(ip, port))
 {
     acceptor_ = std::thread([this] { accept_loop(); });
 }
@@ -505,7 +505,7 @@
     return revision_;
 }
 
-worker::worker(std::string id, std::string ip, int port, int slots,
+worker::worker(std::string id, std::string const& ip, int port, int slots,
                work_function work, record& log)
     : id_(std::move(id)), slots_(slots), work_(std::move(work)), log_(log),
       listener_(listen_at(ip, port))
@@ -674,7 +674,7 @@
 
 std::string node::write_settings() const
 {
-    auto const path = folder_ + "/" + machine_.name + ".yaml";
+    auto path = folder_ + "/" + machine_.name + ".yaml";
     auto const at = [&](int port) {
         return machine_.ip + ":" + std::to_string(port);
     };
--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -99,7 +99,7 @@
 class store
 {
 public:
-    store(std::string ip, int port);
+    store(std::string const& ip, int port);
     ~store();
     std::uint64_t put(std::string const& key, std::string const& value);
     std::uint64_t remove(std::string const& key);
@@ -144,7 +144,7 @@
     // Returns how long the work on a request takes, in seconds.
     using work_function = std::function<double(message const&)>;
 
-    worker(std::string id, std::string ip, int port, int slots,
+    worker(std::string id, std::string const& ip, int port, int slots,
            work_function work, record& log);
     ~worker();
     std::vector<run> runs();
--- a/review/lab-2/service.cpp
+++ b/review/lab-2/service.cpp
@@ -49,6 +49,7 @@
     auto const where = choose_layout(machines);
     store platform(where.store_ip, where.store);
     std::vector<std::unique_ptr<worker>> workers;
+    workers.reserve(machines.size());
     std::vector<std::unique_ptr<node>> nodes;
     auto const start_worker = [&](machine const& it, std::string const& id) {
         platform.put("servers/" + id,
