Review: Wait until the nodes are ready in the scripts

Cause: three seconds may be too short on a slow machine. Result: a script ends with 2 only if a node is not ready after 20 s.

--- a/review/lab-2/crowd.cpp
+++ b/review/lab-2/crowd.cpp
@@ -73,14 +73,9 @@
             std::make_unique<node>(it, where, program, folder, log));
         nodes.back()->start();
     }
-    sleep_for(4);
-    for (auto const& it : nodes)
+    if (!wait_until_ready(nodes, log))
     {
-        if (!it->ready())
-        {
-            log.add("node " + it->where().name + " is not ready");
-            return 2;
-        }
+        return 2;
     }
 
     std::vector<std::unique_ptr<connection>> connections(clients);
--- a/review/lab-2/kept.cpp
+++ b/review/lab-2/kept.cpp
@@ -74,14 +74,9 @@
         supervisors.push_back(std::make_unique<supervisor>(
             *nodes.back(), memory_limit_mb * mebibyte, log));
     }
-    sleep_for(3);
-    for (auto const& it : nodes)
+    if (!wait_until_ready(nodes, log))
     {
-        if (!it->ready())
-        {
-            log.add("node " + it->where().name + " is not ready");
-            return 2;
-        }
+        return 2;
     }
 
     std::atomic<int> answered{0};
--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -785,6 +785,26 @@
     return out == 0 ? 0 : out + unread_bytes(folder);
 }
 
+bool wait_until_ready(std::vector<std::unique_ptr<node>> const& nodes,
+                      record& log)
+{
+    auto const end = now() + 20;
+    sleep_for(3);
+    for (auto const& it : nodes)
+    {
+        while (!it->ready())
+        {
+            if (now() > end)
+            {
+                log.add("node " + it->where().name + " is not ready");
+                return false;
+            }
+            sleep_for(0.1);
+        }
+    }
+    return true;
+}
+
 supervisor::supervisor(node& it, std::uint64_t memory_limit, record& log)
     : node_(it), memory_limit_(memory_limit), log_(log),
       thread_([this] { watch(); })
--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -227,6 +227,11 @@
     std::mutex mutex_;
 };
 
+// Waits until all nodes are ready, and three seconds at least. Returns false if
+// one is not after twenty seconds.
+bool wait_until_ready(std::vector<std::unique_ptr<node>> const& nodes,
+                      record& log);
+
 // Watches the memory of a node as the platform does: it ends the process at the
 // limit, and starts a process that has ended again.
 class supervisor
