HTTP client: Read a response to its end although the request was not written

What callers saw: a worker answered a long upload early, with a whole response, and closed the connection without reading the rest. If the response was longer than one read of 8 KiB, the call ended at its deadline (504).

Cause: a failed write marks the connection as unusable for a further exchange, and read() started no read on an unusable connection. The rest of the response stayed in the kernel's buffer.

Change: only close(), a failed exchange and the end of a response for want of memory stop the reading. A connection whose write has failed is still not used again.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -102,7 +102,7 @@
 
 void client_connection::read()
 {
-    if (unusable_ || std::exchange(read_pending_, true))
+    if (reading_stopped_ || std::exchange(read_pending_, true))
     {
         return;
     }
@@ -204,7 +204,7 @@
         needed, [weak = weak_from_this(), executor = socket_.get_executor()] {
             asio::post(executor, [weak] {
                 auto const self = weak.lock();
-                if (self && self->exchange_handler_ && !self->unusable_)
+                if (self && self->exchange_handler_ && !self->reading_stopped_)
                 {
                     self->read_response();
                 }
@@ -237,6 +237,7 @@
 void client_connection::end_response_for_memory()
 {
     unusable_ = true;
+    reading_stopped_ = true;
     response_memory_.release();
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
         if (self->exchange_handler_)
@@ -271,6 +272,7 @@
 void client_connection::fail_exchange(failure_cause cause, std::string detail)
 {
     unusable_ = true;
+    reading_stopped_ = true;
     error_code ignored;
     socket_.close(ignored);
     finish_exchange(tl::unexpected(exchange_failure{cause, std::move(detail)}));
@@ -292,6 +294,7 @@
 void client_connection::close()
 {
     unusable_ = true;
+    reading_stopped_ = true;
     timer_.cancel();
     response_memory_.release();
     error_code ignored;
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -140,6 +140,8 @@
     int mismatched_responses_ = 0;
     bool write_pending_ = false;
     bool read_pending_ = false;
+    // Invariant: the flag is never cleared once it is set.
+    bool reading_stopped_ = false;
     // Invariant: the flag is never cleared once it is set. The connection is
     // not used again after that.
     bool unusable_ = false;
--- /dev/null
+++ b/src/http/tests/response_end_test.cpp
@@ -0,0 +1,115 @@
+// Tests which ends of a connection complete a response, and which bytes are
+// one, over the loopback interface. The kernel reports the reset of a
+// connection to only one of the system calls that wait for it, so plain strings
+// cannot show these cases.
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include "http/client_connection.hpp"
+#include "stand_ins/raw_worker.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::http;
+using namespace yuccafall::stand_ins;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// The time limit only ends a test that fails.
+constexpr core::milliseconds test_timeout{10'000};
+
+// More than the kernel takes in while the server does not read.
+constexpr std::size_t long_request = 16UL * 1024 * 1024;
+
+std::vector<std::size_t> const part_sizes{0, 100, 60'000};
+
+std::string request_of(std::size_t body_size)
+{
+    return "POST / HTTP/1.1\r\nAttempt-Id: q\r\nContent-Length: " +
+           std::to_string(body_size) + "\r\n\r\n" + std::string(body_size, 'u');
+}
+
+// A client connection and the loop that runs it.
+class client
+{
+public:
+    explicit client(core::endpoint const& to)
+        : connection_(
+              std::make_shared<client_connection>(context_.get_executor()))
+    {
+        std::optional<core::result<void>> connected;
+        connection_->connect(
+            to, test_timeout,
+            [&](core::result<void> const& it) { connected = it; });
+        run_until_set(connected);
+        REQUIRE(*connected);
+    }
+    ~client()
+    {
+        connection_->close();
+        context_.restart();
+        context_.poll();
+    }
+
+    exchange_result exchange(std::string request)
+    {
+        exchange_options options;
+        options.timeout = test_timeout;
+        std::optional<exchange_result> out;
+        connection_->exchange(std::move(request), std::move(options),
+                              [&](exchange_result it) { out = std::move(it); });
+        run_until_set(out);
+        return std::move(*out);
+    }
+
+    bool reusable() { return connection_->reusable(); }
+
+private:
+    template <class Value>
+    void run_until_set(std::optional<Value> const& value)
+    {
+        context_.restart();
+        while (!value)
+        {
+            REQUIRE(context_.run_one() == 1);
+        }
+    }
+
+    boost::asio::io_context context_{1};
+    std::shared_ptr<client_connection> connection_;
+};
+
+core::endpoint const any_port{core::ip_address("127.0.0.1"),
+                              core::port_number(0)};
+
+} // namespace
+
+// Guards against a response that is only read up to the end of the read that
+// was pending when the write failed.
+TEST_CASE("a response that states its end is complete although the connection "
+          "is reset after it")
+{
+    raw_worker server(any_port);
+    for (auto const size : part_sizes)
+    {
+        for (auto const pause : {0, 20, 300})
+        {
+            CAPTURE(size, pause);
+            server.set_reply({send_bytes{"HTTP/1.1 200 OK\r\nContent-Length: " +
+                                         std::to_string(size) + "\r\n\r\n" +
+                                         std::string(size, 'p')},
+                              pause_for{core::milliseconds(pause)},
+                              send_reset{}});
+            client it(server.local());
+            auto const result = it.exchange(request_of(long_request));
+            REQUIRE(result);
+            REQUIRE(result->body.size() == size);
+        }
+    }
+}
--- a/stand_ins/deployment.cpp
+++ b/stand_ins/deployment.cpp
@@ -180,7 +180,7 @@
         {"services", services},
         {"limits",
          {{"max_header_bytes", 16'384},
-          {"max_body_bytes", 1'000'000},
+          {"max_body_bytes", max_body_.value()},
           {"header_timeout_ms", 3'000},
           {"idle_timeout_ms", 15'000}}},
         {"virtual_hosts", json::array({{{"host", host}, {"paths", paths}}})}};
--- a/stand_ins/deployment.hpp
+++ b/stand_ins/deployment.hpp
@@ -78,6 +78,8 @@
     fake_worker& worker(std::size_t vm) { return *vms_[vm].worker; }
     fake_store& store() { return *store_; }
 
+    // Sets the limit of a request's body that later configurations state.
+    void set_max_body(core::byte_count it) { max_body_ = it; }
     // Publishes a new configuration and returns its version. The first version
     // is 2 and each later one is 2 higher.
     std::uint64_t publish(std::vector<route_options> const& routes);
@@ -145,6 +147,7 @@
     std::unique_ptr<fake_store> store_;
     std::vector<vm_state> vms_;
     std::uint64_t version_ = 0;
+    core::byte_count max_body_{1'000'000};
 };
 
 // Sends one request on a new connection and waits for the response.
