HTTP client: Do not take a reset that a write has reported for the end of a response

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The same came when nothing reset the connection: the kernel ended it after 2 s (TCP_USER_TIMEOUT) since the worker read no more of the upload.

Cause: Linux reports the failure of a connection to one system call only. Asio writes before it reads when a connection fails, so the write got ECONNRESET or ETIMEDOUT and the next read reported the end of the stream, as after a FIN. The handler of the write noted only that the connection is not to be used again.

Change: the error of the write is kept, and the end of the stream after it does not complete a response. EPIPE is the exception: the kernel gives it instead of ECONNRESET if the FIN came before the reset, and then the response ends where the worker ended it. The judgement now comes after the handlers that are queued.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -68,6 +68,7 @@
     reader_.emplace(options_.sizes, options_.is_head_request);
     request_bytes_ = std::move(message);
     mismatched_responses_ = 0;
+    write_error_ = {};
     response_memory_.set_part(options_.memory);
     start_timeout(options_.timeout);
     write_pending_ = true;
@@ -78,6 +79,7 @@
             self->request_bytes_ = {};
             // A failed write does not end the exchange, since a response may
             // have arrived before. The result of the read ends it.
+            self->write_error_ = ec;
             self->unusable_ = self->unusable_ || ec.failed();
         });
     read();
@@ -248,9 +250,36 @@
     });
 }
 
+// The kernel reports the failure of a connection to one system call only. After
+// a write has got it, a read reports the end of the stream, as after a FIN. The
+// write gets EPIPE rather than ECONNRESET if the FIN arrived before the reset.
+bool client_connection::ended_by_server() const
+{
+    return !write_error_ || write_error_ == asio::error::broken_pipe;
+}
+
 void client_connection::on_read_error(error_code const& ec)
 {
-    if (ec == asio::error::eof && reader_->started())
+    if (!write_pending_)
+    {
+        end_response(ec);
+        return;
+    }
+    // The write may have got the failure of the connection already. Its handler
+    // is queued then, possibly after this one.
+    asio::post(socket_.get_executor(), [self = shared_from_this(), ec] {
+        if (self->exchange_handler_)
+        {
+            self->end_response(ec);
+        }
+    });
+}
+
+void client_connection::end_response(error_code const& ec)
+{
+    bool const is_end = ec == asio::error::eof && ended_by_server();
+    auto const& reason = ec == asio::error::eof && !is_end ? write_error_ : ec;
+    if (is_end && reader_->started())
     {
         auto const status = reader_->parse_eof();
         if (status)
@@ -266,7 +295,7 @@
     }
     fail_exchange(reader_->started() ? failure_cause::invalid_response
                                      : failure_cause::closed_without_response,
-                  ec.message());
+                  reason.message());
 }
 
 void client_connection::fail_exchange(failure_cause cause, std::string detail)
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -104,6 +104,10 @@
     void read();
     void on_data_received(std::size_t n);
     void on_read_error(boost::system::error_code const& ec);
+    void end_response(boost::system::error_code const& ec);
+    // Returns whether the end of the stream is a FIN of the server rather than
+    // a failure of the connection that a write has reported.
+    bool ended_by_server() const;
     void finish_exchange(exchange_result result);
     void fail_exchange(failure_cause cause, std::string detail);
     void start_timeout(core::milliseconds timeout);
@@ -139,6 +143,8 @@
     core::instant response_started_at_{};
     int mismatched_responses_ = 0;
     bool write_pending_ = false;
+    // Why the request of this exchange could not be written, if so.
+    boost::system::error_code write_error_;
     bool read_pending_ = false;
     // Invariant: the flag is never cleared once it is set.
     bool reading_stopped_ = false;
--- a/src/http/tests/response_end_test.cpp
+++ b/src/http/tests/response_end_test.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "http/client_connection.hpp"
@@ -88,8 +89,101 @@
 core::endpoint const any_port{core::ip_address("127.0.0.1"),
                               core::port_number(0)};
 
+std::string const head_without_length = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+
 } // namespace
 
+// A write that fails takes the error of the connection, so that the next read
+// reports the end of the stream as after a FIN.
+TEST_CASE("a reset that a write has reported does not complete a response")
+{
+    raw_worker server(any_port);
+    for (auto const* version : {"HTTP/1.1", "HTTP/1.0"})
+    {
+        for (auto const size : part_sizes)
+        {
+            for (auto const pause : {0, 20, 300})
+            {
+                CAPTURE(version, size, pause);
+                server.set_reply(
+                    {send_bytes{std::string(version) + " 200 OK\r\n\r\n" +
+                                std::string(size, 'p')},
+                     pause_for{core::milliseconds(pause)}, send_reset{}});
+                client it(server.local());
+                auto const result = it.exchange(request_of(long_request));
+                CHECK_FALSE(result);
+                REQUIRE(result.error().cause ==
+                        failure_cause::invalid_response);
+                REQUIRE_FALSE(it.reusable());
+            }
+        }
+    }
+}
+
+// Guards against a read that reports the end of the stream before the handler
+// of the write that has got the error: the order depends on the moment of the
+// reset.
+TEST_CASE("a reset at any moment does not complete a response")
+{
+    constexpr int attempts = 500;
+    raw_worker server(any_port);
+    server.set_reply({send_bytes{head_without_length + std::string(100, 'p')},
+                      send_reset{}});
+    auto const request = request_of(long_request);
+    int accepted = 0;
+    for (int i = 0; i < attempts; ++i)
+    {
+        client it(server.local());
+        accepted += it.exchange(request) ? 1 : 0;
+    }
+    REQUIRE(accepted == 0);
+}
+
+// As above for a request of any size: the server has reset the connection
+// before the request is written.
+TEST_CASE("a reset before the request is written does not complete a response")
+{
+    for (auto const size : {0, 100, 5'000})
+    {
+        CAPTURE(size);
+        boost::asio::io_context context(1);
+        tcp::acceptor acceptor(context,
+                               {boost::asio::ip::address_v4::loopback(), 0});
+        client it({core::ip_address("127.0.0.1"),
+                   core::port_number(acceptor.local_endpoint().port())});
+        auto server = acceptor.accept();
+        boost::asio::write(server, boost::asio::buffer(head_without_length +
+                                                       std::string(size, 'p')));
+        server.set_option(boost::asio::socket_base::linger(true, 0));
+        server.close();
+        auto const result = it.exchange(request_of(0));
+        CHECK_FALSE(result);
+    }
+}
+
+// A FIN that arrives before the reset ends the response where the server ended
+// it. The error of the write is another one then.
+TEST_CASE("a reset after a FIN leaves a response without a length complete")
+{
+    raw_worker server(any_port);
+    for (auto const size : part_sizes)
+    {
+        for (auto const pause : {0, 20, 300})
+        {
+            CAPTURE(size, pause);
+            server.set_reply(
+                {send_bytes{head_without_length + std::string(size, 'p')},
+                 send_fin{}, pause_for{core::milliseconds(pause)},
+                 send_reset{}});
+            client it(server.local());
+            auto const result = it.exchange(request_of(long_request));
+            REQUIRE(result);
+            REQUIRE(result->body.size() == size);
+            REQUIRE_FALSE(it.reusable());
+        }
+    }
+}
+
 // Guards against a response that is only read up to the end of the read that
 // was pending when the write failed.
 TEST_CASE("a response that states its end is complete although the connection "
--- /dev/null
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -0,0 +1,235 @@
+// Tests that a response of a worker that cannot be trusted reaches no caller,
+// and that a sound one does. The nodes run as processes of the real program.
+// Each request takes the whole path: a caller, its node, the node beside the
+// worker, and the worker.
+#include <memory>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "stand_ins/deployment.hpp"
+#include "stand_ins/raw_caller.hpp"
+#include "stand_ins/raw_worker.hpp"
+
+using namespace yuccafall;
+using namespace yuccafall::stand_ins;
+
+namespace {
+
+// The node of this VM has a worker that no route uses.
+constexpr std::size_t front = 0;
+// The raw worker of this VM runs uploads and bookings.
+constexpr std::size_t vault = 1;
+// One of the two workers that run lookups is a raw one.
+constexpr std::size_t broken_desk = 2;
+constexpr std::size_t sound_desk = 3;
+
+// The time limit only ends a test that fails.
+constexpr int route_timeout_ms = 20'000;
+constexpr core::milliseconds caller_timeout{30'000};
+
+// More than the kernel takes in on the way to a worker that does not read.
+constexpr std::size_t long_upload = 8UL * 1024 * 1024;
+
+std::string const signed_fields =
+    "Attempt-Id: {id}\r\nResponse-Signature: s.{id}\r\n";
+
+class broken_deployment : public deployment
+{
+public:
+    broken_deployment()
+        : deployment(
+              {{"a", "front"}, {"a", "vault"}, {"b", "desk"}, {"b", "desk"}},
+              {})
+    {
+        set_max_body(core::byte_count(2 * long_upload));
+        auto const version =
+            publish({{"/upload/", "upload", "vault", route_timeout_ms},
+                     {"/book/", "non_idempotent", "vault", route_timeout_ms},
+                     {"/look/", "idempotent", "desk", route_timeout_ms}});
+        start_nodes();
+        for (std::size_t i = 0; i < size(); ++i)
+        {
+            REQUIRE(wait_until_ready(i));
+            REQUIRE(wait_for_version(i, version));
+        }
+        vault_worker = replace_worker(vault);
+        desk_worker = replace_worker(broken_desk);
+    }
+
+    ~broken_deployment()
+    {
+        for (std::size_t i = 0; i < size(); ++i)
+        {
+            CHECK(log(i).find("event=handler_failed") == std::string::npos);
+        }
+    }
+
+    std::string next_id() { return fmt::format("q{}", ++last_id_); }
+
+    raw_result send(std::size_t vm, http::request it)
+    {
+        return call_raw(caller_endpoint(vm), std::move(it), caller_timeout);
+    }
+
+    // Returns the node's metric, or an empty text if there is none.
+    std::string metric(std::size_t vm, std::string const& name)
+    {
+        auto const text =
+            "\n" + send_request(admin_endpoint(vm), request("/metrics", "m"),
+                                core::milliseconds(3'000))
+                       .body;
+        auto const at = text.find("\n" + name + " ");
+        if (at == std::string::npos)
+        {
+            return {};
+        }
+        auto const start = at + name.size() + 2;
+        return text.substr(start, text.find('\n', start) - start);
+    }
+
+    std::unique_ptr<raw_worker> vault_worker;
+    std::unique_ptr<raw_worker> desk_worker;
+
+private:
+    std::unique_ptr<raw_worker> replace_worker(std::size_t vm)
+    {
+        auto const at = worker(vm).local();
+        worker(vm).crash();
+        return std::make_unique<raw_worker>(at);
+    }
+
+    int last_id_ = 0;
+};
+
+http::request make_upload(std::string const& id, std::size_t size)
+{
+    auto it = deployment::request("/upload/x", id, "POST");
+    it.body = std::string(size, 'u');
+    return it;
+}
+
+// The caller gets the node's own failure, which promises nothing, and nothing
+// of the worker's response. The request has run once.
+void require_failure(raw_result const& it, raw_worker const& worker,
+                     std::string const& id)
+{
+    CAPTURE(it.bytes.substr(0, 400));
+    CHECK(it.ended);
+    CHECK(it.status() == "502");
+    CHECK(it.body().empty());
+    CHECK(it.bytes.find("Response-Signature") == std::string::npos);
+    CHECK(worker.arrivals(id) == 1);
+}
+
+// Short enough to be read at once, and longer than one read of the node.
+std::vector<std::size_t> const part_sizes{0, 100, 60'000};
+
+} // namespace
+
+// Report of an operator: a worker answered a long upload with a status 200
+// without a length, sent a part of the body and reset the connection while the
+// upload was being written. The caller got the part as the whole.
+TEST_CASE("a response without a length that is reset during an upload is not "
+          "complete")
+{
+    broken_deployment fleet;
+    for (auto const vm : {vault, front})
+    {
+        for (auto const* version : {"HTTP/1.1", "HTTP/1.0"})
+        {
+            for (auto const size : part_sizes)
+            {
+                for (auto const pause : {0, 20, 300})
+                {
+                    CAPTURE(vm, version, size, pause);
+                    fleet.vault_worker->set_reply(
+                        {send_bytes{std::string(version) + " 200 OK\r\n" +
+                                    signed_fields + "\r\n" +
+                                    std::string(size, 'p')},
+                         pause_for{core::milliseconds(pause)}, send_reset{}});
+                    auto const id = fleet.next_id();
+                    auto const it =
+                        fleet.send(vm, make_upload(id, long_upload));
+                    require_failure(it, *fleet.vault_worker, id);
+                }
+            }
+        }
+    }
+}
+
+// A refusal that is not complete is none: the request may have run.
+TEST_CASE("a refusal without a length that is reset during an upload promises "
+          "nothing")
+{
+    broken_deployment fleet;
+    for (auto const vm : {vault, front})
+    {
+        for (auto const* status : {"503 Full", "421 Other", "429 Later"})
+        {
+            CAPTURE(vm, status);
+            fleet.vault_worker->set_reply(
+                {send_bytes{fmt::format("HTTP/1.1 {}\r\nAttempt-Id: {{id}}\r\n"
+                                        "Not-Executed: 1\r\n\r\npart",
+                                        status)},
+                 pause_for{core::milliseconds(20)}, send_reset{}});
+            auto const id = fleet.next_id();
+            auto const it = fleet.send(vm, make_upload(id, long_upload));
+            require_failure(it, *fleet.vault_worker, id);
+        }
+    }
+}
+
+// The kernel ends the connection, since the worker reads no more of the upload.
+TEST_CASE("a response without a length whose connection times out during an "
+          "upload is not complete")
+{
+    broken_deployment fleet;
+    for (auto const vm : {vault, front})
+    {
+        CAPTURE(vm);
+        fleet.vault_worker->set_reply(
+            {send_bytes{"HTTP/1.1 200 OK\r\n" + signed_fields + "\r\npart"},
+             pause_for{core::milliseconds(8'000)}, send_fin{}});
+        auto const id = fleet.next_id();
+        auto const it = fleet.send(vm, make_upload(id, long_upload));
+        require_failure(it, *fleet.vault_worker, id);
+    }
+}
+
+TEST_CASE("a response that is reset before its end is not complete")
+{
+    broken_deployment fleet;
+    for (auto const vm : {vault, front})
+    {
+        for (auto const& fields :
+             {std::string(), std::string("Content-Length: 70000\r\n"),
+              std::string("Transfer-Encoding: chunked\r\n")})
+        {
+            for (auto const size : part_sizes)
+            {
+                for (bool const reads_request : {false, true})
+                {
+                    CAPTURE(vm, fields, size, reads_request);
+                    auto const chunk_start =
+                        fields.find("chunked") != std::string::npos ? "f000\r\n"
+                                                                    : "";
+                    reply steps{send_bytes{"HTTP/1.1 200 OK\r\n" +
+                                           signed_fields + fields + "\r\n" +
+                                           chunk_start +
+                                           std::string(size, 'p')},
+                                send_reset{}};
+                    if (reads_request)
+                    {
+                        steps.insert(steps.begin(), read_body{});
+                    }
+                    fleet.vault_worker->set_reply(std::move(steps));
+                    auto const id = fleet.next_id();
+                    auto const it =
+                        fleet.send(vm, make_upload(id, long_upload));
+                    require_failure(it, *fleet.vault_worker, id);
+                }
+            }
+        }
+    }
+}
