HTTP readers: Name the faults of responses, and test them over the whole path

A response that is not used has a reason now (response_fault), which the reader gives with the parser's message and client_connection passes on. The response is parsed by a subclass of the parser of Boost.Beast, which stores the fields and the body itself, so that further checks have a place. What is accepted does not change.

response_samples lists malformed responses, and sound ones that look alike. Each one is read from plain strings, split before each byte; over a connection that ends with a FIN or a reset; and over the whole path, through the worker's own node and through another one. The caller gets 502 and nothing of the response, the request runs once, and the connection to the worker is not used again. A sound response, also one that comes before an upload has been read, reaches the caller.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -135,11 +135,7 @@
         auto const status = reader_->parse(unparsed_bytes_);
         if (!status)
         {
-            bool const too_large =
-                status.error().kind == core::error_kind::body_too_large;
-            fail_exchange(too_large ? failure_cause::response_too_large
-                                    : failure_cause::invalid_response,
-                          status.error().detail);
+            reject_response(status.error());
             return;
         }
         if (*status == parse_progress::needs_more_data)
@@ -156,8 +152,9 @@
         if (++mismatched_responses_ > max_mismatched_responses ||
             !response.keep_alive)
         {
-            fail_exchange(failure_cause::invalid_response,
-                          "the server sent only responses to other requests");
+            reject_response({response_fault::other_request,
+                             "the server sent only responses to other "
+                             "requests"});
             return;
         }
         reader_.emplace(options_.sizes, options_.is_head_request);
@@ -279,23 +276,44 @@
 {
     bool const is_end = ec == asio::error::eof && ended_by_server();
     auto const& reason = ec == asio::error::eof && !is_end ? write_error_ : ec;
-    if (is_end && reader_->started())
+    if (!reader_->started())
     {
-        auto const status = reader_->parse_eof();
-        if (status)
-        {
-            auto response = reader_->release();
-            response.keep_alive = false;
-            if (!options_.matches_request || options_.matches_request(response))
-            {
-                finish_exchange(std::move(response));
-                return;
-            }
-        }
+        fail_exchange(failure_cause::closed_without_response, reason.message());
+        return;
+    }
+    if (!is_end)
+    {
+        reject_response({response_fault::reset, reason.message()});
+        return;
+    }
+    auto const status = reader_->parse_eof();
+    if (!status)
+    {
+        reject_response(status.error());
+        return;
+    }
+    auto response = reader_->release();
+    response.keep_alive = false;
+    if (options_.matches_request && !options_.matches_request(response))
+    {
+        reject_response({response_fault::other_request,
+                         "the server sent only responses to other requests"});
+        return;
     }
-    fail_exchange(reader_->started() ? failure_cause::invalid_response
-                                     : failure_cause::closed_without_response,
-                  reason.message());
+    finish_exchange(std::move(response));
+}
+
+void client_connection::reject_response(invalid_response const& why)
+{
+    unusable_ = true;
+    reading_stopped_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    finish_exchange(tl::unexpected(
+        exchange_failure{why.fault == response_fault::body_too_large
+                             ? failure_cause::response_too_large
+                             : failure_cause::invalid_response,
+                         why.detail, why.fault}));
 }
 
 void client_connection::fail_exchange(failure_cause cause, std::string detail)
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -29,7 +29,8 @@
     connect_failed,
     // The connection was closed or reset before the first byte of the response.
     closed_without_response,
-    // The response is incomplete or is not valid HTTP.
+    // The response is incomplete or malformed; exchange_failure::fault says
+    // how.
     invalid_response,
     // The body of the response exceeds the limit of the exchange.
     response_too_large,
@@ -44,6 +45,8 @@
 {
     failure_cause cause;
     std::string detail;
+    // Set if bytes of a response have arrived that cannot be used.
+    std::optional<response_fault> fault = std::nullopt;
 };
 
 using exchange_result = tl::expected<response, exchange_failure>;
@@ -110,6 +113,7 @@
     bool ended_by_server() const;
     void finish_exchange(exchange_result result);
     void fail_exchange(failure_cause cause, std::string detail);
+    void reject_response(invalid_response const& why);
     void start_timeout(core::milliseconds timeout);
     // Reads the next part of the response, now or when there is memory for it.
     void read_response();
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -1,4 +1,4 @@
-// Passes received bytes to the parsers of Boost.Beast.
+// Passes received bytes to the parsers.
 #include "http/readers.hpp"
 
 #include <utility>
@@ -9,7 +9,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
+#include "http/parser_loop.hpp"
 #include "http/request_target.hpp"
+#include "http/response_parser.hpp"
 
 namespace yuccafall::http {
 
@@ -34,14 +36,6 @@
     return out;
 }
 
-template <class Parser>
-void set_limits(Parser& parser, size_limits limits)
-{
-    parser.header_limit(static_cast<std::uint32_t>(limits.head.value()));
-    parser.body_limit(limits.body.value());
-    parser.eager(true);
-}
-
 error_kind error_kind_of(error_code const& ec)
 {
     if (ec == beast::http::error::header_limit)
@@ -55,67 +49,6 @@
     return error_kind::bad_request;
 }
 
-// The parser of Boost 1.74 does not apply its limit to the length that a
-// response states.
-template <class Parser>
-bool exceeds_body_limit(Parser const& parser, size_limits const& limits)
-{
-    auto const limit = limits.body.value();
-    // The response to a HEAD request states the length of a body that it does
-    // not have, and it is done with its head.
-    bool const expects_body =
-        parser.is_header_done() && !parser.is_done() && parser.content_length();
-    return (expects_body && *parser.content_length() > limit) ||
-           parser.get().body().size() > limit;
-}
-
-// Passes the buffer to the parser until the parser is done, fails or needs more
-// bytes. Removes the parsed bytes from the buffer.
-template <class Parser>
-error_code run_parser(Parser& parser, std::string& buffer,
-                      size_limits const& limits)
-{
-    error_code ec;
-    std::size_t used = 0;
-    while (!parser.is_done() && used < buffer.size())
-    {
-        auto const n = parser.put(
-            boost::asio::buffer(buffer.data() + used, buffer.size() - used),
-            ec);
-        used += n;
-        if (ec || n == 0)
-        {
-            break;
-        }
-    }
-    buffer.erase(0, used);
-    if (ec == beast::http::error::need_more)
-    {
-        ec = {};
-    }
-    if (!ec && exceeds_body_limit(parser, limits))
-    {
-        ec = beast::http::error::body_limit;
-    }
-    // Bytes that the parser has left in the buffer belong to a head, to the
-    // header of a chunk or to a trailer. The parser limits only heads.
-    if (!ec && !parser.is_done() && buffer.size() > limits.head.value())
-    {
-        ec = beast::http::error::header_limit;
-    }
-    return ec;
-}
-
-// RFC 9112 section 5.2 allows a server to reject folded header lines. They are
-// rejected because another parser may interpret them differently.
-bool has_folded_header(std::string const& buffer)
-{
-    auto const end = buffer.find("\r\n\r\n");
-    auto const head = std::string_view(buffer).substr(0, end);
-    return head.find("\r\n ") != std::string_view::npos ||
-           head.find("\r\n\t") != std::string_view::npos;
-}
-
 bool has_invalid_authority(beast::string_view target)
 {
     std::string_view const it(target.data(), target.size());
@@ -159,12 +92,13 @@
 core::result<parse_progress> request_reader::parse(std::string& buffer)
 {
     auto& parser = state_->parser;
-    if (!parser.is_header_done() && has_folded_header(buffer))
+    if (!parser.is_header_done() && has_folded_line(buffer))
     {
         return core::failure(error_kind::bad_request,
                              "the request contains a folded header line");
     }
-    auto const ec = run_parser(parser, buffer, state_->limits);
+    auto const ec =
+        run_parser(parser, parser.get().body(), buffer, state_->limits);
     if (ec)
     {
         return core::failure(error_kind_of(ec), ec.message());
@@ -221,8 +155,6 @@
 
 struct response_reader::state
 {
-    using parser_type = beast::http::response_parser<beast::http::string_body>;
-
     state(size_limits message_limits, bool for_head_request)
         : limits(message_limits), is_head_request(for_head_request)
     {
@@ -231,20 +163,18 @@
 
     void reset()
     {
-        parser = std::make_unique<parser_type>();
-        set_limits(*parser, limits);
-        parser->skip(is_head_request);
+        parser = std::make_unique<response_parser>(limits, is_head_request);
     }
 
     bool is_interim() const
     {
-        return parser->is_done() && parser->get().result_int() < 200;
+        return parser->is_done() && parser->status() < 200;
     }
 
     size_limits limits;
     bool is_head_request;
     // The parser is replaced after each interim response.
-    std::unique_ptr<parser_type> parser;
+    std::unique_ptr<response_parser> parser;
     int interim_responses = 0;
     bool started = false;
 };
@@ -258,7 +188,8 @@
 response_reader&
 response_reader::operator=(response_reader&&) noexcept = default;
 
-core::result<parse_progress> response_reader::parse(std::string& buffer)
+tl::expected<parse_progress, invalid_response>
+response_reader::parse(std::string& buffer)
 {
     state_->started = state_->started || !buffer.empty();
     do
@@ -267,37 +198,25 @@
         {
             if (++state_->interim_responses > max_interim_responses)
             {
-                return core::failure(error_kind::truncated_answer,
-                                     "too many interim responses");
+                return tl::unexpected(invalid_response{
+                    response_fault::interim, "too many interim responses"});
             }
             state_->reset();
         }
-        auto const ec = run_parser(*state_->parser, buffer, state_->limits);
-        if (ec)
+        if (auto const parsed = state_->parser->parse(buffer); !parsed)
         {
-            return core::failure(ec == beast::http::error::body_limit
-                                     ? error_kind::body_too_large
-                                     : error_kind::truncated_answer,
-                                 ec.message());
+            return tl::unexpected(parsed.error());
         }
     } while (state_->is_interim());
     return state_->parser->is_done() ? parse_progress::complete
                                      : parse_progress::needs_more_data;
 }
 
-core::result<parse_progress> response_reader::parse_eof()
+tl::expected<parse_progress, invalid_response> response_reader::parse_eof()
 {
-    if (!state_->parser->got_some())
-    {
-        return core::failure(error_kind::truncated_answer,
-                             "the connection was closed before the response");
-    }
-    error_code ec;
-    state_->parser->put_eof(ec);
-    if (ec || !state_->parser->is_done())
+    if (auto const parsed = state_->parser->parse_eof(); !parsed)
     {
-        return core::failure(error_kind::truncated_answer,
-                             "the connection was closed within the response");
+        return tl::unexpected(parsed.error());
     }
     return parse_progress::complete;
 }
@@ -316,18 +235,12 @@
 
 std::size_t response_reader::body_size() const
 {
-    return state_->parser->get().body().size();
+    return state_->parser->body_size();
 }
 
 response response_reader::release()
 {
-    auto message = state_->parser->release();
-    response it;
-    it.status = static_cast<int>(message.result_int());
-    it.headers = copy_headers(message);
-    it.keep_alive = message.keep_alive() && !message.need_eof();
-    it.body = std::move(message.body());
-    return it;
+    return state_->parser->release();
 }
 
 } // namespace yuccafall::http
--- a/src/http/readers.hpp
+++ b/src/http/readers.hpp
@@ -7,9 +7,12 @@
 #include <memory>
 #include <string>
 
+#include <tl/expected.hpp>
+
 #include "core/error.hpp"
 #include "core/units.hpp"
 #include "http/message.hpp"
+#include "http/response_fault.hpp"
 
 namespace yuccafall::http {
 
@@ -69,13 +72,11 @@
     response_reader& operator=(response_reader&&) noexcept;
 
     // Parses the buffer as request_reader::parse() does. Interim responses
-    // (1xx) are skipped. The function fails with body_too_large if the body
-    // exceeds the limit, and with truncated_answer if the bytes are not a valid
-    // response.
-    core::result<parse_progress> parse(std::string& buffer);
+    // (1xx) are skipped.
+    tl::expected<parse_progress, invalid_response> parse(std::string& buffer);
     // Must be called when the peer has closed the connection without an error,
     // which completes a response that has no length.
-    core::result<parse_progress> parse_eof();
+    tl::expected<parse_progress, invalid_response> parse_eof();
 
     // Returns whether any bytes have been received, be it an interim response.
     bool started() const;
--- /dev/null
+++ b/src/http/response_parser.cpp
@@ -0,0 +1,141 @@
+// Implements the callbacks of the parser of Boost.Beast.
+#include "http/response_parser.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/beast/http/error.hpp>
+
+#include "http/parser_loop.hpp"
+
+namespace yuccafall::http {
+
+namespace beast = boost::beast;
+using http_error = beast::http::error;
+
+response_parser::response_parser(size_limits limits, bool is_head_request)
+    : limits_(limits)
+{
+    set_limits<basic_parser>(*this, limits);
+    skip(is_head_request);
+}
+
+tl::expected<void, invalid_response> response_parser::parse(std::string& buffer)
+{
+    auto const ec = run_parser<basic_parser>(*this, body_, buffer, limits_);
+    if (ec)
+    {
+        return tl::unexpected(invalid_response{fault_of(ec), ec.message()});
+    }
+    return {};
+}
+
+tl::expected<void, invalid_response> response_parser::parse_eof()
+{
+    error_code ec;
+    if (got_some())
+    {
+        put_eof(ec);
+    }
+    if (ec || !is_done())
+    {
+        return tl::unexpected(
+            invalid_response{response_fault::incomplete,
+                             "the connection was closed within the response"});
+    }
+    return {};
+}
+
+response response_parser::release()
+{
+    response it;
+    it.status = status_;
+    it.headers = std::move(headers_);
+    it.keep_alive = keep_alive();
+    it.body = std::move(body_);
+    return it;
+}
+
+response_fault response_parser::fault_of(error_code const& ec) const
+{
+    if (ec == http_error::header_limit)
+    {
+        return response_fault::head_too_large;
+    }
+    if (ec == http_error::body_limit)
+    {
+        return response_fault::body_too_large;
+    }
+    if (ec == http_error::bad_content_length ||
+        ec == http_error::bad_transfer_encoding)
+    {
+        return response_fault::framing;
+    }
+    if (version_ == 0)
+    {
+        return response_fault::status_line;
+    }
+    return is_header_done() && !in_trailer_ ? response_fault::chunk
+                                            : response_fault::field;
+}
+
+void response_parser::on_request_impl(beast::http::verb, string_view,
+                                      string_view, int, error_code&)
+{}
+
+void response_parser::on_response_impl(int code, string_view, int version,
+                                       error_code& ec)
+{
+    ec = {};
+    status_ = code;
+    version_ = version;
+}
+
+void response_parser::on_field_impl(beast::http::field, string_view name_text,
+                                    string_view value, error_code& ec)
+{
+    ec = {};
+    headers_.push_back({std::string(name_text), std::string(value)});
+}
+
+void response_parser::on_header_impl(error_code& ec)
+{
+    ec = {};
+}
+
+void response_parser::on_body_init_impl(
+    boost::optional<std::uint64_t> const& length, error_code& ec)
+{
+    ec = {};
+    body_.reserve(std::min(length.value_or(0), limits_.body.value()));
+}
+
+std::size_t response_parser::on_body_impl(string_view bytes, error_code& ec)
+{
+    ec = {};
+    body_.append(bytes.data(), bytes.size());
+    return bytes.size();
+}
+
+// Called when the whole line of the chunk has arrived, and for the last chunk
+// when its trailer has arrived as well.
+void response_parser::on_chunk_header_impl(std::uint64_t size, string_view,
+                                           error_code& ec)
+{
+    ec = {};
+    in_trailer_ = size == 0;
+}
+
+std::size_t response_parser::on_chunk_body_impl(std::uint64_t,
+                                                string_view bytes,
+                                                error_code& ec)
+{
+    return on_body_impl(bytes, ec);
+}
+
+void response_parser::on_finish_impl(error_code& ec)
+{
+    ec = {};
+}
+
+} // namespace yuccafall::http
--- a/src/http/tests/readers_test.cpp
+++ b/src/http/tests/readers_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/catch.h>
 
 #include "http/readers.hpp"
+#include "stand_ins/response_samples.hpp"
 
 using namespace yuccafall;
 using namespace yuccafall::http;
@@ -309,3 +310,93 @@
         }
     }
 }
+
+namespace {
+
+stand_ins::response_content short_content()
+{
+    return {"Response-Id: 7\r\n", "the body"};
+}
+
+// What a reader makes of the bytes before the end of the connection and of the
+// end itself: the response, or the fault for which it is not used.
+tl::expected<response, invalid_response>
+read_response(std::string const& bytes, std::vector<std::size_t> const& splits)
+{
+    response_reader it({}, false);
+    std::string buffer;
+    std::size_t from = 0;
+    for (std::size_t i = 0; i <= splits.size(); ++i)
+    {
+        auto const to = i < splits.size() ? splits[i] : bytes.size();
+        buffer += bytes.substr(from, to - from);
+        from = to;
+        auto const status = it.parse(buffer);
+        if (!status)
+        {
+            return tl::unexpected(status.error());
+        }
+        if (*status == parse_progress::complete)
+        {
+            return it.release();
+        }
+    }
+    if (auto const status = it.parse_eof(); !status)
+    {
+        return tl::unexpected(status.error());
+    }
+    return it.release();
+}
+
+// Returns the ways to split the bytes into reads: not at all, before each of
+// the first bytes, and before every byte.
+std::vector<std::vector<std::size_t>> splits_of(std::string const& bytes)
+{
+    std::vector<std::vector<std::size_t>> out(1);
+    std::vector<std::size_t> every_byte;
+    for (std::size_t i = 1; i < std::min<std::size_t>(bytes.size(), 1'000); ++i)
+    {
+        out.push_back({i});
+        every_byte.push_back(i);
+    }
+    out.push_back(std::move(every_byte));
+    return out;
+}
+
+} // namespace
+
+// Guards against a malformed response that reaches a caller, and against one
+// that is rejected or not by how its bytes arrive.
+TEST_CASE("a malformed response is rejected with its fault")
+{
+    for (auto const& it : stand_ins::make_broken_responses(short_content()))
+    {
+        for (auto const& splits : splits_of(it.bytes))
+        {
+            CAPTURE(it.name, splits);
+            auto const result = read_response(it.bytes, splits);
+            REQUIRE_FALSE(result);
+            REQUIRE(to_string(result.error().fault) == it.fault);
+        }
+    }
+}
+
+TEST_CASE("a sound response is read, however its bytes are split")
+{
+    auto const content = short_content();
+    for (auto const& it : stand_ins::make_sound_responses(content))
+    {
+        for (auto const& splits : splits_of(it.bytes))
+        {
+            CAPTURE(it.name, it.bytes, splits);
+            auto const result = read_response(it.bytes, splits);
+            REQUIRE(result);
+            REQUIRE(result->status == it.status);
+            REQUIRE(result->body ==
+                    (it.has_body ? content.body : std::string()));
+            auto const* id = find_header(result->headers, "Response-Id");
+            REQUIRE(id != nullptr);
+            REQUIRE(*id == "7");
+        }
+    }
+}
--- a/src/http/tests/response_end_test.cpp
+++ b/src/http/tests/response_end_test.cpp
@@ -14,6 +14,7 @@
 
 #include "http/client_connection.hpp"
 #include "stand_ins/raw_worker.hpp"
+#include "stand_ins/response_samples.hpp"
 
 using namespace yuccafall;
 using namespace yuccafall::http;
@@ -89,6 +90,11 @@
 core::endpoint const any_port{core::ip_address("127.0.0.1"),
                               core::port_number(0)};
 
+response_content sample_content()
+{
+    return {"X: y\r\n", "the whole body " + std::string(20'000, 'x')};
+}
+
 std::string const head_without_length = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
 
 } // namespace
@@ -207,3 +213,44 @@
         }
     }
 }
+
+TEST_CASE("a malformed response is rejected, however its connection ends")
+{
+    raw_worker server(any_port);
+    for (auto const& sample : make_broken_responses(sample_content()))
+    {
+        for (auto const& end :
+             {reply_step(send_fin{}), reply_step(send_reset{})})
+        {
+            CAPTURE(sample.name, end.index());
+            server.set_reply({read_body{}, send_bytes{sample.bytes}, end});
+            client it(server.local());
+            auto const result = it.exchange(request_of(0));
+            CHECK_FALSE(result);
+            REQUIRE_FALSE(it.reusable());
+        }
+    }
+}
+
+TEST_CASE("a sound response is read")
+{
+    raw_worker server(any_port);
+    auto const content = sample_content();
+    for (auto const& sample : make_sound_responses(content))
+    {
+        CAPTURE(sample.name);
+        reply steps{read_body{}, send_bytes{sample.bytes}};
+        if (sample.ends_with_connection)
+        {
+            steps.emplace_back(send_fin{});
+        }
+        steps.emplace_back(await_close{});
+        server.set_reply(std::move(steps));
+        client it(server.local());
+        auto const result = it.exchange(request_of(0));
+        REQUIRE(result);
+        REQUIRE(result->status == sample.status);
+        REQUIRE(result->body ==
+                (sample.has_body ? content.body : std::string()));
+    }
+}
--- a/stand_ins/broken_responses/tests/broken_responses_test.cpp
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -10,6 +10,7 @@
 #include "stand_ins/deployment.hpp"
 #include "stand_ins/raw_caller.hpp"
 #include "stand_ins/raw_worker.hpp"
+#include "stand_ins/response_samples.hpp"
 
 using namespace yuccafall;
 using namespace yuccafall::stand_ins;
@@ -34,6 +35,12 @@
 std::string const signed_fields =
     "Attempt-Id: {id}\r\nResponse-Signature: s.{id}\r\n";
 
+// The body is longer than several reads of the node.
+response_content sample_content()
+{
+    return {signed_fields, "the worker's body " + std::string(50'000, 'x')};
+}
+
 class broken_deployment : public deployment
 {
 public:
@@ -233,3 +240,75 @@
         }
     }
 }
+
+// Report of operators: a field whose name holds a blank or a control byte.
+TEST_CASE("a malformed response reaches no caller")
+{
+    broken_deployment fleet;
+    auto const samples = make_broken_responses(sample_content());
+    for (auto const vm : {vault, front})
+    {
+        for (auto const& it : samples)
+        {
+            CAPTURE(vm, it.name);
+            fleet.vault_worker->set_reply(
+                {read_body{}, send_bytes{it.bytes}, send_fin{}, await_close{}});
+            auto const id = fleet.next_id();
+            auto request = deployment::request("/book/x", id, "POST");
+            request.body = "booking";
+            require_failure(fleet.send(vm, std::move(request)),
+                            *fleet.vault_worker, id);
+        }
+    }
+    CHECK(fleet.vault_worker->requests_on_used_connections() == 0);
+}
+
+// A sound response is complete however its connection ends after it, also when
+// the worker has not read the upload and has reset the connection.
+TEST_CASE("a sound response reaches the caller, however its connection ends")
+{
+    broken_deployment fleet;
+    auto const content = sample_content();
+    for (auto const vm : {vault, front})
+    {
+        for (auto const& sample : make_sound_responses(content))
+        {
+            for (bool const reads_upload : {true, false})
+            {
+                for (bool const resets : {false, true})
+                {
+                    CAPTURE(vm, sample.name, reads_upload, resets);
+                    reply steps{send_bytes{sample.bytes}};
+                    if (reads_upload)
+                    {
+                        steps.insert(steps.begin(), read_body{});
+                    }
+                    if (sample.ends_with_connection || !resets)
+                    {
+                        steps.emplace_back(send_fin{});
+                    }
+                    if (resets)
+                    {
+                        steps.emplace_back(send_reset{});
+                    }
+                    else
+                    {
+                        steps.emplace_back(await_close{});
+                    }
+                    fleet.vault_worker->set_reply(std::move(steps));
+                    auto const id = fleet.next_id();
+                    auto const it =
+                        fleet.send(vm, make_upload(id, long_upload));
+                    CAPTURE(it.bytes.substr(0, 400));
+                    CHECK(it.ended);
+                    CHECK(it.status() == std::to_string(sample.status));
+                    CHECK(it.body() ==
+                          (sample.has_body ? content.body : std::string()));
+                    CHECK(it.bytes.find("Response-Signature: s." + id) !=
+                          std::string::npos);
+                    CHECK(fleet.vault_worker->arrivals(id) == 1);
+                }
+            }
+        }
+    }
+}
