HTTP readers: Reject a response whose status is not one of HTTP

What callers saw: a worker in trouble sent a response with the status 000, signed and without a length, and the caller got it as a response ("HTTP/1.1 0"). So it was with 001 and 099, and with 600 and 999 whatever the framing.

Cause: Boost.Beast takes any three digits. A status below 100 counted as an interim response, which is skipped, but only if its parser was done with its head; one without a length was complete at the end of the connection.

Change: the reader rejects a status outside of 100 to 599 (RFC 9110 section 15) as soon as the status line has arrived, with the fault `status`.

Evidence: the rows "status ..." were accepted before, 9 of the 15 over the whole path in both directions, and 000, 001 and 099 with a length were waited for until the connection ended; all 15 are rejected now in each test of the rows.

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include <boost/beast/http/error.hpp>
+#include <fmt/format.h>
 
 #include "http/parser_loop.hpp"
+#include "http/response_check.hpp"
 
 namespace yuccafall::http {
 
@@ -23,6 +25,10 @@
 tl::expected<void, invalid_response> response_parser::parse(std::string& buffer)
 {
     auto const ec = run_parser<basic_parser>(*this, body_, buffer, limits_);
+    if (rejection_)
+    {
+        return tl::unexpected(*rejection_);
+    }
     if (ec)
     {
         return tl::unexpected(invalid_response{fault_of(ec), ec.message()});
@@ -56,6 +62,14 @@
     return it;
 }
 
+void response_parser::reject(response_fault fault, std::string detail,
+                             error_code& ec)
+{
+    rejection_ = invalid_response{fault, std::move(detail)};
+    // The parser stops at any error.
+    ec = http_error::bad_value;
+}
+
 response_fault response_parser::fault_of(error_code const& ec) const
 {
     if (ec == http_error::header_limit)
@@ -89,6 +103,11 @@
     ec = {};
     status_ = code;
     version_ = version;
+    if (!is_valid_status(code))
+    {
+        reject(response_fault::status,
+               fmt::format("the status {:03} is not valid", code), ec);
+    }
 }
 
 void response_parser::on_field_impl(beast::http::field, string_view name_text,
--- a/src/http/response_parser.hpp
+++ b/src/http/response_parser.hpp
@@ -1,8 +1,11 @@
-// Parses one response, be it an interim one, with the parser of Boost.Beast.
+// Parses one response, be it an interim one. It rejects what the parser of
+// Boost.Beast accepts although the message is malformed or its end is
+// ambiguous.
 #ifndef YUCCAFALL_HTTP_RESPONSE_PARSER_HPP
 #define YUCCAFALL_HTTP_RESPONSE_PARSER_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -58,6 +61,8 @@
                                    error_code& ec) override;
     void on_finish_impl(error_code& ec) override;
 
+    // Rejects the response from within a callback of the parser.
+    void reject(response_fault fault, std::string detail, error_code& ec);
     response_fault fault_of(error_code const& ec) const;
 
     size_limits limits_;
@@ -67,6 +72,8 @@
     header_list headers_;
     std::string body_;
     bool in_trailer_ = false;
+    // What the callbacks have found. Set at most once.
+    std::optional<invalid_response> rejection_;
 };
 
 } // namespace yuccafall::http
--- a/stand_ins/broken_responses/tests/broken_responses_test.cpp
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -241,7 +241,8 @@
     }
 }
 
-// Report of operators: a field whose name holds a blank or a control byte.
+// Reports of operators: a status 000, and a field whose name holds a blank or a
+// control byte.
 TEST_CASE("a malformed response reaches no caller")
 {
     broken_deployment fleet;
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -101,6 +101,19 @@
         out.push_back({fmt::format("status line \"{}\"", line),
                        b.with_status_line(line), "status_line"});
     }
+    for (auto const* status : {"000", "001", "099", "600", "999"})
+    {
+        auto const line = fmt::format("HTTP/1.1 {} Odd", status);
+        auto const head = line + "\r\n";
+        out.insert(out.end(),
+                   {{fmt::format("status {}, with a length", status),
+                     b.with_status_line(line), "status"},
+                    {fmt::format("status {}, without a length", status),
+                     head + b.with_fields("", b.body()).substr(17), "status"},
+                    {fmt::format("status {}, in chunks", status),
+                     head + b.chunked(b.chunks() + "0\r\n\r\n").substr(17),
+                     "status"}});
+    }
     std::string interim;
     for (int i = 0; i < 20; ++i)
     {
