HTTP readers: Reject a change of protocol that was not asked for

What callers could see: a worker that sent 101 Switching Protocols, to a request without Upgrade, and then bytes that looked like a response had these passed on as its response. After a 101 they belong to another protocol.

Cause: 101 was skipped like the other interim responses.

Change: the reader rejects it with the fault `interim`.

Evidence: the row "a change of protocol" was accepted before in each test of the rows, over the whole path too, and is rejected now. 100 and 103 are still skipped (row "interim responses before").

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -15,6 +15,12 @@
 namespace beast = boost::beast;
 using http_error = beast::http::error;
 
+namespace {
+
+constexpr int switching_protocols = 101;
+
+} // namespace
+
 response_parser::response_parser(size_limits limits, bool is_head_request)
     : limits_(limits)
 {
@@ -108,6 +114,11 @@
         reject(response_fault::status,
                fmt::format("the status {:03} is not valid", code), ec);
     }
+    else if (code == switching_protocols)
+    {
+        reject(response_fault::interim,
+               "the server changes the protocol without being asked to", ec);
+    }
 }
 
 void response_parser::on_field_impl(beast::http::field, string_view name_text,
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -120,7 +120,13 @@
         interim += "HTTP/1.1 100 Continue\r\n\r\n";
     }
     auto const whole = b.with_fields(b.length(), b.body());
-    out.push_back({"too many interim responses", interim + whole, "interim"});
+    out.insert(out.end(),
+               {{"too many interim responses", interim + whole, "interim"},
+                {"a change of protocol",
+                 "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                 "Connection: upgrade\r\n\r\n" +
+                     whole,
+                 "interim"}});
 }
 
 void add_field_names(sample_builder const& b, broken& out)
