HTTP readers: Do not take a body for a folded line of the head

What callers could see: a request whose body begins with a blank or a tab, or holds one at the start of a line, was answered 400 if its head had arrived up to the middle of its last line end.

Cause: the parser removes the lines that it has read from the buffer. What is left then begins with the empty line, and the search for a folded line went on into the body.

Change: a rest that begins with the empty line holds no line of the head.

Evidence: "a body may begin with a blank" failed before for requests, for one of the places at which its bytes are split.

--- a/src/http/parser_loop.hpp
+++ b/src/http/parser_loop.hpp
@@ -85,6 +85,13 @@
            fields.find("\r\n\t") != std::string_view::npos;
 }
 
+// As above for the rest of a head. A rest that begins with the empty line has
+// no further line, and the body follows it.
+inline bool has_folded_line_in_head(std::string_view rest)
+{
+    return rest.substr(0, 2) != "\r\n" && has_folded_line(rest);
+}
+
 } // namespace yuccafall::http
 
 #endif
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -92,7 +92,7 @@
 core::result<parse_progress> request_reader::parse(std::string& buffer)
 {
     auto& parser = state_->parser;
-    if (!parser.is_header_done() && has_folded_line(buffer))
+    if (!parser.is_header_done() && has_folded_line_in_head(buffer))
     {
         return core::failure(error_kind::bad_request,
                              "the request contains a folded header line");
--- a/src/http/tests/readers_test.cpp
+++ b/src/http/tests/readers_test.cpp
@@ -400,3 +400,30 @@
         }
     }
 }
+
+// Guards against a body that is taken for a folded line because the head had
+// arrived up to its last empty line.
+TEST_CASE("a body may begin with a blank")
+{
+    std::string const response_bytes =
+        "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 7\r\n\r\n a\r\n\tb\r\n";
+    for (auto const& splits : splits_of(response_bytes))
+    {
+        CAPTURE(splits);
+        auto const result = read_response(response_bytes, splits);
+        REQUIRE(result);
+        REQUIRE(result->body == " a\r\n\tb\r");
+    }
+    std::string const request_bytes =
+        head("X: y\r\nContent-Length: 7\r\n") + " a\r\n\tb\r";
+    for (std::size_t i = 1; i < request_bytes.size(); ++i)
+    {
+        CAPTURE(i);
+        request_reader it({});
+        std::string buffer = request_bytes.substr(0, i);
+        REQUIRE(it.parse(buffer) == parse_progress::needs_more_data);
+        buffer += request_bytes.substr(i);
+        REQUIRE(it.parse(buffer) == parse_progress::complete);
+        REQUIRE(it.release().body == " a\r\n\tb\r");
+    }
+}
