HTTP readers: Reject a response with a folded line

What callers could see: a line of a worker's head that began with a blank, such as a field whose name had lost its first bytes, became a part of the value before it. If that was the signature, the caller got another one.

Cause: Boost.Beast unfolds such lines. Only requests were checked for them.

Change: the reader rejects a folded line in the head or the trailer of a response, which RFC 9112 section 5.2 allows a gateway to do (fault `field`).

Evidence: the rows "a folded value", "a value folded by a tab" and "a fold before a value", in heads and in trailers, were accepted before in each test of the rows and are rejected now.

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -30,7 +30,14 @@
 
 tl::expected<void, invalid_response> response_parser::parse(std::string& buffer)
 {
+    if (!is_header_done() && has_folded_line_in_head(buffer))
+    {
+        return tl::unexpected(invalid_response{
+            response_fault::field, "the head contains a folded line"});
+    }
+    input_ = buffer;
     auto const ec = run_parser<basic_parser>(*this, body_, buffer, limits_);
+    input_ = {};
     if (rejection_)
     {
         return tl::unexpected(*rejection_);
@@ -149,11 +156,24 @@
 
 // Called when the whole line of the chunk has arrived, and for the last chunk
 // when its trailer has arrived as well.
-void response_parser::on_chunk_header_impl(std::uint64_t size, string_view,
+// Called when the whole line of the chunk has arrived, and for the last chunk
+// when its trailer has arrived as well.
+void response_parser::on_chunk_header_impl(std::uint64_t size,
+                                           string_view extensions,
                                            error_code& ec)
 {
     ec = {};
-    in_trailer_ = size == 0;
+    if (size > 0)
+    {
+        return;
+    }
+    in_trailer_ = true;
+    auto const line_end = extensions.data() + extensions.size();
+    if (has_folded_line(
+            input_.substr(static_cast<std::size_t>(line_end - input_.data()))))
+    {
+        reject(response_fault::field, "the trailer contains a folded line", ec);
+    }
 }
 
 std::size_t response_parser::on_chunk_body_impl(std::uint64_t,
--- a/src/http/response_parser.hpp
+++ b/src/http/response_parser.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <tl/expected.hpp>
@@ -74,6 +75,8 @@
     bool in_trailer_ = false;
     // What the callbacks have found. Set at most once.
     std::optional<invalid_response> rejection_;
+    // The bytes that are being parsed, while parse() runs.
+    std::string_view input_;
 };
 
 } // namespace yuccafall::http
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -173,7 +173,10 @@
         {"a control byte in a value", "X: a\x01z\r\n"},
         {"a delete byte in a value", "X: a\x7fz\r\n"},
         {"a carriage return in a value", "X: a\rb\r\n"},
-        {"a line feed in a value", "X: a\nY: b\r\n"}};
+        {"a line feed in a value", "X: a\nY: b\r\n"},
+        {"a folded value", "X: a\r\n b\r\n"},
+        {"a value folded by a tab", "X: a\r\n\tb\r\n"},
+        {"a fold before a value", "X:\r\n b\r\n"}};
     for (auto const& [name, line] : lines)
     {
         out.insert(out.end(),
