HTTP readers: Reject a transfer coding other than the chunked one

What callers could see: a body that was not the worker's. A response with the coding "gzip" was taken for one that ends with its connection, and its coded bytes were passed on without the coding's name. Of "gzip, chunked" only the chunks were decoded. A length beside an unknown coding was taken for the length of the body.

Cause: Boost.Beast looks only whether the list ends with "chunked", and ignores any other list; the node removes Transfer-Encoding since it concerns one connection.

Change: the reader rejects a response with a transfer coding unless it is exactly "chunked" (fault `framing`). A node sends no TE, so no other coding has been asked for.

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
 
@@ -128,16 +129,30 @@
     }
 }
 
-void response_parser::on_field_impl(beast::http::field, string_view name_text,
-                                    string_view value, error_code& ec)
+void response_parser::on_field_impl(beast::http::field name,
+                                    string_view name_text, string_view value,
+                                    error_code& ec)
 {
     ec = {};
     headers_.push_back({std::string(name_text), std::string(value)});
+    if (name == beast::http::field::transfer_encoding)
+    {
+        codings_.emplace_back(value);
+    }
 }
 
+// The parser takes any list that ends with "chunked" for the chunked coding,
+// and a body with another coding for one that ends with the connection.
 void response_parser::on_header_impl(error_code& ec)
 {
     ec = {};
+    bool const is_chunked_only =
+        codings_.size() == 1 && beast::iequals(codings_.front(), "chunked");
+    if (!codings_.empty() && !is_chunked_only)
+    {
+        reject(response_fault::framing,
+               "the transfer coding is not the chunked one alone", ec);
+    }
 }
 
 void response_parser::on_body_init_impl(
--- a/src/http/response_parser.hpp
+++ b/src/http/response_parser.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <tl/expected.hpp>
@@ -72,6 +73,8 @@
     int version_ = 0;
     header_list headers_;
     std::string body_;
+    // Values of the fields Transfer-Encoding, in their order.
+    std::vector<std::string> codings_;
     bool in_trailer_ = false;
     // What the callbacks have found. Set at most once.
     std::optional<invalid_response> rejection_;
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -225,13 +225,29 @@
 {
     auto const chunks = b.chunks() + "0\r\n\r\n";
     std::string const chunked = "Transfer-Encoding: chunked\r\n";
-    out.insert(out.end(),
-               {{"a length before a coding",
-                 b.with_fields(b.length() + chunked, chunks), "framing"},
-                {"a length after a coding",
-                 b.with_fields(chunked + b.length(), chunks), "framing"},
-                {"the chunked coding twice",
-                 b.with_fields(chunked + chunked, chunks), "framing"}});
+    out.insert(
+        out.end(),
+        {{"a length before a coding",
+          b.with_fields(b.length() + chunked, chunks), "framing"},
+         {"a length after a coding",
+          b.with_fields(chunked + b.length(), chunks), "framing"},
+         {"a length beside an unknown coding",
+          b.with_fields("Transfer-Encoding: gzip\r\n" + b.length(), b.body()),
+          "framing"},
+         {"the chunked coding twice", b.with_fields(chunked + chunked, chunks),
+          "framing"},
+         {"a coding before the chunked one, in two fields",
+          b.with_fields("Transfer-Encoding: gzip\r\n" + chunked, chunks),
+          "framing"}});
+    for (auto const* value : {"gzip", "gzip, chunked", "chunked, gzip",
+                              "chunked, chunked", "identity", "xchunked",
+                              "chunked x", "chunked;q=1", "\"chunked\"", ""})
+    {
+        out.push_back(
+            {fmt::format("coding \"{}\"", value),
+             b.with_fields("Transfer-Encoding: "s + value + "\r\n", chunks),
+             "framing"});
+    }
 }
 
 void add_chunks(sample_builder const& b, broken& out)
