HTTP readers: Reject the chunked coding in an HTTP/1.0 response

What callers could see: a body that was not the worker's, if the sender of an HTTP/1.0 response had copied the field Transfer-Encoding from elsewhere and not coded the body, or the other way round.

Cause: Boost.Beast decodes chunks in any version. RFC 9112 section 6.1 has a client treat the framing of such a response as faulty.

Change: the reader rejects it with the fault `framing`.

Evidence: the row "the chunked coding in an HTTP/1.0 response" was accepted before in each test of the rows, and is rejected now.

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -143,15 +143,18 @@
 
 // The parser takes any list that ends with "chunked" for the chunked coding,
 // and a body with another coding for one that ends with the connection.
+// HTTP/1.0 has no transfer codings (RFC 9112 section 6.1).
 void response_parser::on_header_impl(error_code& ec)
 {
     ec = {};
+    constexpr int http_1_1 = 11;
     bool const is_chunked_only =
         codings_.size() == 1 && beast::iequals(codings_.front(), "chunked");
-    if (!codings_.empty() && !is_chunked_only)
+    if (!codings_.empty() && (!is_chunked_only || version_ < http_1_1))
     {
         reject(response_fault::framing,
-               "the transfer coding is not the chunked one alone", ec);
+               "the transfer coding is not the chunked one of HTTP/1.1 alone",
+               ec);
     }
 }
 
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -238,7 +238,9 @@
           "framing"},
          {"a coding before the chunked one, in two fields",
           b.with_fields("Transfer-Encoding: gzip\r\n" + chunked, chunks),
-          "framing"}});
+          "framing"},
+         {"the chunked coding in an HTTP/1.0 response",
+          "HTTP/1.0" + b.with_fields(chunked, chunks).substr(8), "framing"}});
     for (auto const* value : {"gzip", "gzip, chunked", "chunked, gzip",
                               "chunked, chunked", "identity", "xchunked",
                               "chunked x", "chunked;q=1", "\"chunked\"", ""})
