HTTP readers: Reject a control byte in a chunk extension

What callers could see: none so far. A response whose chunk line holds a control byte or a bare line feed within a quoted string was accepted, and a parser that ends lines there reads another body from it.

Cause: Boost.Beast takes any byte within the quoted string of an extension.

Change: the reader rejects a control byte other than the tab with the fault `chunk`.

Evidence: the rows "a chunk with a control byte in an extension" and "a chunk with a line feed in an extension" were accepted before in each test of the rows, and are rejected now.

--- /dev/null
+++ b/src/http/field_syntax.cpp
@@ -0,0 +1,17 @@
+// Implements the checks of header fields.
+#include "http/field_syntax.hpp"
+
+#include <algorithm>
+
+namespace yuccafall::http {
+
+bool is_free_of_control_bytes(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char c) {
+        constexpr char delete_byte = 0x7f;
+        auto const byte = static_cast<unsigned char>(c);
+        return (byte < ' ' && c != '\t') || c == delete_byte;
+    });
+}
+
+} // namespace yuccafall::http
--- /dev/null
+++ b/src/http/field_syntax.hpp
@@ -0,0 +1,14 @@
+// The syntax of header fields (RFC 9110 section 5).
+#ifndef YUCCAFALL_HTTP_FIELD_SYNTAX_HPP
+#define YUCCAFALL_HTTP_FIELD_SYNTAX_HPP
+
+#include <string_view>
+
+namespace yuccafall::http {
+
+// Returns whether the text contains no control byte. The tab is none.
+bool is_free_of_control_bytes(std::string_view text);
+
+} // namespace yuccafall::http
+
+#endif
--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
 
+#include "http/field_syntax.hpp"
 #include "http/parser_loop.hpp"
 #include "http/response_check.hpp"
 
@@ -181,6 +182,12 @@
                                            error_code& ec)
 {
     ec = {};
+    if (!is_free_of_control_bytes({extensions.data(), extensions.size()}))
+    {
+        reject(response_fault::chunk,
+               "a chunk extension contains a control byte", ec);
+        return;
+    }
     if (size > 0)
     {
         return;
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -266,6 +266,9 @@
         {"no line end after the data", "5\r\nshort0\r\n\r\n"},
         {"a line feed after a size", "5\nshort\r\n0\r\n\r\n"},
         {"a carriage return after a size", "5\rshort\r\n0\r\n\r\n"},
+        {"a control byte in an extension",
+         "5;a=\"\x01\"\r\nshort\r\n0\r\n\r\n"},
+        {"a line feed in an extension", "5;a=\"\n\"\r\nshort\r\n0\r\n\r\n"},
         {"an extension without a name", "5;=\r\nshort\r\n0\r\n\r\n"}};
     for (auto const& [name, bytes] : samples)
     {
