HTTP readers: Do not merge the fields of a trailer into the head

What callers could see: a worker ran a request and answered 200 in chunks with a trailer that held Not-Executed. The caller got 503, which promises that the request has not run (REFUSED), and a node could offer it to a second worker (TWICE). An Attempt-Id or a second signature of a trailer was passed on with the head, and a signature that stood only there was taken for that of the head.

Cause: the parser reports the fields of the trailer like those of the head, and both went into one list. RFC 9110 section 6.5.1 forbids that unless the field's definition permits it; those of the platform do not.

Change: the reader discards the fields of a trailer. A success whose signature stands only in a trailer counts as not signed.

--- a/src/http/readers.hpp
+++ b/src/http/readers.hpp
@@ -72,7 +72,7 @@
     response_reader& operator=(response_reader&&) noexcept;
 
     // Parses the buffer as request_reader::parse() does. Interim responses
-    // (1xx) are skipped.
+    // (1xx) are skipped, and the fields of a trailer are discarded.
     tl::expected<parse_progress, invalid_response> parse(std::string& buffer);
     // Must be called when the peer has closed the connection without an error,
     // which completes a response that has no length.
--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -135,6 +135,12 @@
                                     error_code& ec)
 {
     ec = {};
+    // RFC 9110 section 6.5.1 forbids to merge the fields of a trailer into the
+    // head unless their definition permits it. They may be discarded.
+    if (in_trailer_)
+    {
+        return;
+    }
     headers_.push_back({std::string(name_text), std::string(value)});
     if (name == beast::http::field::transfer_encoding)
     {
--- a/src/http/tests/readers_test.cpp
+++ b/src/http/tests/readers_test.cpp
@@ -401,6 +401,17 @@
     }
 }
 
+// RFC 9110 section 6.5.1.
+TEST_CASE("the fields of a trailer do not become fields of the head")
+{
+    auto const result =
+        read_response("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "4\r\nbody\r\n0\r\nNot-Run: 1\r\n\r\n",
+                      {});
+    REQUIRE(result);
+    REQUIRE(find_header(result->headers, "Not-Run") == nullptr);
+}
+
 // Guards against a body that is taken for a folded line because the head had
 // arrived up to its last empty line.
 TEST_CASE("a body may begin with a blank")
--- a/stand_ins/broken_responses/tests/broken_responses_test.cpp
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -313,3 +313,40 @@
         }
     }
 }
+
+// Guards against a request that is reported as not run, or sent again, although
+// it has run, and against a success that the worker has not signed.
+TEST_CASE("the fields of a trailer say nothing about the request")
+{
+    broken_deployment fleet;
+    std::string const head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
+                             "Transfer-Encoding: chunked\r\n";
+    std::string const signature = "Response-Signature: s.{id}\r\n";
+    std::string const body = "\r\n4\r\nbody\r\n0\r\n";
+    for (auto const vm : {vault, front})
+    {
+        CAPTURE(vm);
+        for (auto const* line :
+             {"Not-Executed: 1\r\n", "Attempt-Id: other\r\n",
+              "Response-Signature: other\r\n", "Content-Encoding: gzip\r\n"})
+        {
+            CAPTURE(line);
+            fleet.vault_worker->set_reply(
+                {read_body{},
+                 send_bytes{head + signature + body + line + "\r\n"},
+                 send_fin{}, await_close{}});
+            auto const id = fleet.next_id();
+            auto const it = fleet.send(vm, make_upload(id, 10));
+            CHECK(it.status() == "200");
+            CHECK(it.body() == "body");
+            CHECK(it.bytes.find("other") == std::string::npos);
+            CHECK(fleet.vault_worker->arrivals(id) == 1);
+        }
+        fleet.vault_worker->set_reply(
+            {read_body{}, send_bytes{head + body + signature + "\r\n"},
+             send_fin{}, await_close{}});
+        auto const id = fleet.next_id();
+        require_failure(fleet.send(vm, make_upload(id, 10)),
+                        *fleet.vault_worker, id);
+    }
+}
