Upstream: Log and count why a response of the worker is not used

What operators saw: `run_failed` with the message of the parser, such as "bad value", and one counter for all failures.

`run_failed` and `worker_health_unknown` state it, and yuccafall_invalid_responses_total counts it by source and reason, also for a call that its caller has given up.

What is used does not change.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -284,6 +284,30 @@
                 core::value_of(it.canceled));
 }
 
+void add_invalid_response_metrics(families& out, node_state const& it)
+{
+    auto& to = add_family(out, "yuccafall_invalid_responses_total",
+                          "Responses that were not used since they were "
+                          "incomplete or malformed, by source and reason.",
+                          MetricType::Counter);
+    auto const add_source = [&](char const* source,
+                                http::response_fault_counters const* counts) {
+        for (std::size_t i = 0;
+             counts != nullptr && i < http::response_fault_count; ++i)
+        {
+            auto const fault = static_cast<http::response_fault>(i);
+            add_value(to, static_cast<double>(counts->count_of(fault)),
+                      {{"source", source},
+                       {"reason", std::string(to_string(fault))}});
+        }
+    };
+    if (it.upstream_counters)
+    {
+        add_source("worker", &it.upstream_counters->invalid_responses);
+        add_source("health", &it.upstream_counters->invalid_health_responses);
+    }
+}
+
 void add_process_metrics(families& out)
 {
     auto const usage = read_process_usage();
@@ -317,6 +341,7 @@
     {
         add_worker_metrics(out, *it.upstream_counters);
     }
+    add_invalid_response_metrics(out, it);
     add_memory_metrics(out, it.memory);
     add_process_metrics(out);
     return prometheus::TextSerializer().Serialize(out);
--- /dev/null
+++ b/src/metadata/response_check.cpp
@@ -0,0 +1,48 @@
+// Implements the rules for responses of workers.
+#include "metadata/response_check.hpp"
+
+namespace yuccafall::metadata {
+
+using http::invalid_response;
+using http::response_fault;
+
+namespace {
+
+// Returns true if the status code means that the worker did not run the
+// request. A worker's response with such a code counts as a failure unless it
+// also states in its metadata that the request did not run, since the code may
+// be wrong.
+bool status_implies_request_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+std::optional<invalid_response> find_fault(http::response const& response,
+                                           response_metadata const& metadata)
+{
+    if (http::find_header(response.headers, "content-encoding") != nullptr)
+    {
+        // The request did not ask for a content encoding.
+        return invalid_response{
+            response_fault::content_coding,
+            "the worker's response has an unrequested content encoding"};
+    }
+    if (response.status < 300 && !metadata.has_signature)
+    {
+        return invalid_response{
+            response_fault::no_signature,
+            "the worker's success response carries no signature"};
+    }
+    if (status_implies_request_not_run(response.status))
+    {
+        return invalid_response{
+            response_fault::unconfirmed_refusal,
+            "the worker's status code implies that the request did not run, "
+            "but its response does not state so"};
+    }
+    return std::nullopt;
+}
+
+} // namespace yuccafall::metadata
--- a/src/upstream/call_reporter.cpp
+++ b/src/upstream/call_reporter.cpp
@@ -73,6 +73,8 @@
                         {{"request", call.offer.request_id.value()},
                          {"upstream", call.offer.upstream.value()},
                          {"kind", core::error_kind_info_for(kind).name},
+                         {"fault", outcome.fault ? to_string(*outcome.fault)
+                                                 : std::string_view()},
                          {"reason", outcome.reason},
                          {"running", queue_.running()}});
     }
--- a/src/upstream/counters.hpp
+++ b/src/upstream/counters.hpp
@@ -4,6 +4,7 @@
 #define YUCCAFALL_UPSTREAM_COUNTERS_HPP
 
 #include "core/counter.hpp"
+#include "http/response_fault.hpp"
 
 namespace yuccafall::upstream {
 
@@ -18,6 +19,10 @@
     core::counter evacuated{0};
     core::counter rejected_by_worker{0};
     core::counter failed{0};
+    // Responses of the worker that were not used, to calls and to requests for
+    // its health.
+    http::response_fault_counters invalid_responses;
+    http::response_fault_counters invalid_health_responses;
     core::counter canceled{0};
     // Calls that the worker does not have, although they were sent to it.
     core::counter lost{0};
--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -35,7 +35,8 @@
         header_codec.read_response_metadata(response).cold_remaining;
     if (!cold_remaining)
     {
-        return health_unavailable{"the worker's cold time cannot be read"};
+        return health_unavailable{"the worker's cold time cannot be read",
+                                  http::response_fault::field};
     }
     return health_response{*cold_remaining};
 }
@@ -129,7 +130,8 @@
                 done(worker_failed{it.error().cause,
                                    it.error().detail,
                                    {},
-                                   is_connection_loss(it.error().cause)});
+                                   is_connection_loss(it.error().cause),
+                                   it.error().fault});
                 return;
             }
             if (it->keep_alive)
@@ -204,7 +206,8 @@
                  done = std::move(done)](http::exchange_result it) {
                     if (!it)
                     {
-                        done(health_unavailable{it.error().detail});
+                        done(health_unavailable{it.error().detail,
+                                                it.error().fault});
                         return;
                     }
                     auto outcome =
--- a/src/upstream/worker_client.hpp
+++ b/src/upstream/worker_client.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -30,6 +31,8 @@
 struct health_unavailable
 {
     std::string reason;
+    // Why the response is not used, if one has arrived at least in part.
+    std::optional<http::response_fault> fault = std::nullopt;
 };
 using health_outcome = std::variant<health_response, health_unavailable>;
 
--- a/src/upstream/worker_outcome.cpp
+++ b/src/upstream/worker_outcome.cpp
@@ -4,22 +4,10 @@
 #include <utility>
 
 #include "core/overloaded.hpp"
+#include "metadata/response_check.hpp"
 
 namespace yuccafall::upstream {
 
-namespace {
-
-// Returns true if the status code means that the worker did not run the
-// request. A worker's response with such a code counts as a failure unless it
-// also states in its metadata that the request did not run, since the code may
-// be wrong.
-bool status_implies_request_not_run(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-} // namespace
-
 worker_outcome classify_response(http::response response,
                                  metadata::header_codec const& header_codec)
 {
@@ -28,26 +16,11 @@
     {
         return worker_rejected{std::move(metadata)};
     }
-    auto const invalid_response_failure = [&](std::string reason) {
-        return worker_failed{http::failure_cause::invalid_response,
-                             std::move(reason), metadata.load};
-    };
-    if (http::find_header(response.headers, "content-encoding") != nullptr)
+    if (auto fault = metadata::find_fault(response, metadata))
     {
-        // The request did not ask for a content encoding.
-        return invalid_response_failure(
-            "the worker's response has an unrequested content encoding");
-    }
-    if (response.status < 300 && !metadata.has_signature)
-    {
-        return invalid_response_failure(
-            "the worker's success response carries no signature");
-    }
-    if (status_implies_request_not_run(response.status))
-    {
-        return invalid_response_failure(
-            "the worker's status code implies that the request did "
-            "not run, but its response does not state so");
+        return worker_failed{http::failure_cause::invalid_response,
+                             std::move(fault->detail), metadata.load, false,
+                             fault->fault};
     }
     return worker_answered{std::move(response), std::move(metadata)};
 }
--- a/src/upstream/worker_outcome.hpp
+++ b/src/upstream/worker_outcome.hpp
@@ -41,6 +41,8 @@
     // True if the connection was closed or reset, and not by this node, or if
     // the response is not valid HTTP.
     bool connection_lost = false;
+    // Why the response is not used, if one has arrived at least in part.
+    std::optional<http::response_fault> fault = std::nullopt;
 };
 // How a request to the worker ended.
 using worker_outcome = std::variant<worker_answered, worker_rejected,
--- a/src/upstream/worker_owner.cpp
+++ b/src/upstream/worker_owner.cpp
@@ -437,6 +437,10 @@
 
 void worker_owner::report_outcome(call_entry& call, worker_failed& outcome)
 {
+    if (outcome.fault)
+    {
+        counters_->invalid_responses.record(*outcome.fault);
+    }
     // A canceled call that is not idempotent runs on and may crash the worker.
     if (outcome.cause == http::failure_cause::closed_without_response)
     {
--- a/src/upstream/worker_warm_up.cpp
+++ b/src/upstream/worker_warm_up.cpp
@@ -180,8 +180,15 @@
         handle_event(admission::health_answered{response->cold_remaining});
         return;
     }
-    core::log_event(core::log_level::info, "worker_health_unknown",
-                    {{"reason", std::get<health_unavailable>(it).reason}});
+    auto const& failure = std::get<health_unavailable>(it);
+    if (failure.fault)
+    {
+        counters_->invalid_health_responses.record(*failure.fault);
+    }
+    core::log_event(
+        core::log_level::info, "worker_health_unknown",
+        {{"reason", failure.reason},
+         {"fault", failure.fault ? to_string(*failure.fault) : ""}});
     handle_event(admission::health_failed{});
     // Calls that wait must not stay at the cold rate if the worker is warm.
     set_calls_wait(calls_wait_);
--- a/stand_ins/broken_responses/tests/broken_responses_test.cpp
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -2,6 +2,7 @@
 // and that a sound one does. The nodes run as processes of the real program.
 // Each request takes the whole path: a caller, its node, the node beside the
 // worker, and the worker.
+#include <map>
 #include <memory>
 
 #include <catch2/catch.hpp>
@@ -350,3 +351,45 @@
                         *fleet.vault_worker, id);
     }
 }
+
+// An operator learns from the log and the metrics of the worker's node why a
+// response was not used.
+TEST_CASE("the reason for which a response is not used is logged and counted")
+{
+    broken_deployment fleet;
+    std::map<std::string, std::string> bytes_by_fault;
+    for (auto const& it : make_broken_responses(sample_content()))
+    {
+        bytes_by_fault.emplace(it.fault, it.bytes);
+    }
+    bytes_by_fault["no_signature"] = "HTTP/1.1 200 OK\r\n\r\n";
+    bytes_by_fault["content_coding"] = "HTTP/1.1 200 OK\r\n" + signed_fields +
+                                       "Content-Encoding: gzip\r\n\r\n";
+    bytes_by_fault["unconfirmed_refusal"] = "HTTP/1.1 503 Full\r\n\r\n";
+    bytes_by_fault["body_too_large"] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+    for (auto const& [fault, bytes] : bytes_by_fault)
+    {
+        fleet.vault_worker->set_reply(
+            {read_body{}, send_bytes{bytes}, send_fin{}, await_close{}});
+        auto const id = fleet.next_id();
+        require_failure(fleet.send(front, make_upload(id, 10)),
+                        *fleet.vault_worker, id);
+    }
+    fleet.vault_worker->set_reply(
+        {read_body{}, send_bytes{"HTTP/1.1 200 OK\r\n\r\n"}, send_reset{}});
+    auto const id = fleet.next_id();
+    require_failure(fleet.send(front, make_upload(id, 10)), *fleet.vault_worker,
+                    id);
+    bytes_by_fault["reset"] = {};
+    for (auto const& [fault, bytes] : bytes_by_fault)
+    {
+        CAPTURE(fault);
+        CHECK(fleet.metric(vault,
+                           fmt::format("yuccafall_invalid_responses_total{{"
+                                       "source=\"worker\",reason=\"{}\"}}",
+                                       fault)) == "1");
+        CHECK(fleet.log(vault).find("fault=" + fault + " ") !=
+              std::string::npos);
+    }
+}
