Platform: Do not use a response whose id or signature is ambiguous

What callers could see: of a response with two different values of Attempt-Id or Response-Signature, the first one decided and both were passed on. A refusal with two ids was taken for one of this request, so that the caller got 503 (REFUSED).

A field that repeats its value is used as before.

--- a/src/metadata/header_codec.hpp
+++ b/src/metadata/header_codec.hpp
@@ -59,6 +59,10 @@
     // How much longer the worker is cold: zero if it states no cold time, empty
     // if its statement cannot be read. Only health responses state it.
     std::optional<core::milliseconds> cold_remaining;
+    // True if the worker states different values of a field that has one value,
+    // so that it is not known which request the response belongs to, or which
+    // signature is its own.
+    bool is_contradictory = false;
     // How long the worker keeps the connection open while it is idle.
     std::optional<core::milliseconds> idle_timeout;
 };
--- a/src/metadata/response_check.cpp
+++ b/src/metadata/response_check.cpp
@@ -22,6 +22,12 @@
 std::optional<invalid_response> find_fault(http::response const& response,
                                            response_metadata const& metadata)
 {
+    if (metadata.is_contradictory)
+    {
+        return invalid_response{
+            response_fault::field,
+            "the worker states two values of a field that has one"};
+    }
     if (http::find_header(response.headers, "content-encoding") != nullptr)
     {
         // The request did not ask for a content encoding.
