Upstream: Close the connection of a response that is not used

What callers could see: after a response that was well-formed but not used, such as a success without a signature, the connection was kept for the next request, whose response may then follow bytes that belong to the first one.

Cause: a connection was kept if its response allowed it, before the response was checked.

Change: the outcome decides. A connection is kept only after a response in which the worker speaks for itself, and for health only if the response can be read.

Evidence: "the connection of a response that is not used carries no request" failed before for each of its rows; "the connection of a response that is used carries the next request" holds.

--- a/src/upstream/worker_client.cpp
+++ b/src/upstream/worker_client.cpp
@@ -134,13 +134,19 @@
                                    it.error().fault});
                 return;
             }
-            if (it->keep_alive)
+            bool const keep_alive = it->keep_alive;
+            auto outcome =
+                classify_response(std::move(*it), self->header_codec_);
+            auto const* metadata = metadata_of(outcome);
+            if (metadata == nullptr)
             {
-                self->keep_idle_connection(
-                    connection,
-                    self->header_codec_.read_response_metadata(*it));
+                connection->close();
             }
-            done(classify_response(std::move(*it), self->header_codec_));
+            else if (keep_alive)
+            {
+                self->keep_idle_connection(connection, *metadata);
+            }
+            done(std::move(outcome));
         });
 }
 
@@ -212,7 +218,13 @@
                     }
                     auto outcome =
                         classify_health_response(*it, self->header_codec_);
-                    if (it->keep_alive)
+                    auto const* failed =
+                        std::get_if<health_unavailable>(&outcome);
+                    if (failed != nullptr && failed->fault)
+                    {
+                        connection->close();
+                    }
+                    else if (it->keep_alive)
                     {
                         self->keep_idle_connection(
                             connection,
