--- a/src/admin/node_state.hpp
+++ b/src/admin/node_state.hpp
@@ -8,6 +8,7 @@
 #include "core/ids.hpp"
 #include "core/memory_account.hpp"
 #include "core/units.hpp"
+#include "http/response_fault.hpp"
 #include "ingress/counters.hpp"
 #include "ingress/traffic_view.hpp"
 #include "upstream/counters.hpp"
@@ -54,6 +55,9 @@
     // Whether the last call to the store succeeded.
     bool store_reachable = false;
     std::uint64_t store_calls = 0;
+    // Null if this node has no store.
+    std::shared_ptr<http::response_fault_counters const>
+        invalid_store_responses;
     // Number of configurations that were rejected entirely.
     std::uint64_t refused = 0;
     // Time since the configuration in force was applied.
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -180,6 +180,7 @@
     it.confirmed_ago = replicator_.confirmed_ago(core::boot_clock::now());
     it.peers = replicator_.peer_count();
     it.store_calls = store_->call_count();
+    it.invalid_store_responses = store_->invalid_responses();
     it.refused = refused_configurations_;
     return it;
 }
