Admin: Use only a whole response with status 200 as the status of a node

What operators could see: `where` counted a node by a response whose status was not 200, and a node whose response could not be read was listed as unknown without a line in any log.

Change: the collector takes a status only from a response with status 200. `status_response_invalid` names the fault of one that is not used, and yuccafall_invalid_responses_total{source="status"} counts it.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -80,8 +80,9 @@
     }
     if (target.path == "/metrics")
     {
-        client->send_response(
-            make_response(metrics_body(sources_.state()), metrics_type));
+        auto state = sources_.state();
+        state.invalid_status_responses = invalid_status_responses_;
+        client->send_response(make_response(metrics_body(state), metrics_type));
         return;
     }
     if (target.path == "/status")
@@ -130,7 +131,7 @@
     // The response is sent later, so the connection needs a disconnect handler.
     client->on_disconnect([] {});
     std::make_shared<status_collector>(
-        context_, sources_.nodes(),
+        context_, sources_.nodes(), invalid_status_responses_,
         [client, version](std::vector<node_status> const& statuses) {
             client->send_response(
                 make_response(where_body(version, statuses), json_type));
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -73,6 +73,9 @@
 
     boost::asio::io_context& context_;
     admin_sources sources_;
+    // Counts the responses of nodes to requests for their status.
+    std::shared_ptr<http::response_fault_counters> invalid_status_responses_ =
+        std::make_shared<http::response_fault_counters>();
     std::shared_ptr<http::server> server_;
 };
 
--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -311,6 +311,7 @@
         add_source("node", &it.ingress_counters->invalid_responses);
     }
     add_source("store", it.control.invalid_store_responses.get());
+    add_source("status", it.invalid_status_responses.get());
 }
 
 void add_process_metrics(families& out)
--- a/src/admin/node_state.hpp
+++ b/src/admin/node_state.hpp
@@ -76,6 +76,9 @@
     std::shared_ptr<ingress::traffic_view const> view;
     std::shared_ptr<ingress::counters const> ingress_counters;
     std::shared_ptr<upstream::counters const> upstream_counters;
+    // Responses of other nodes' admin endpoints that were not used.
+    std::shared_ptr<http::response_fault_counters const>
+        invalid_status_responses;
     // Null pointers if the node counts no memory.
     core::memory_account memory;
 };
--- a/src/admin/status_collector.cpp
+++ b/src/admin/status_collector.cpp
@@ -1,7 +1,7 @@
 // Opens one connection to each node and reads its /status.
 #include "admin/status_collector.hpp"
 
-#include "http/client_connection.hpp"
+#include "core/log.hpp"
 
 namespace yuccafall::admin {
 
@@ -10,13 +10,16 @@
 // With this limit, it takes a few seconds to collect the status of 5,500 nodes.
 constexpr std::size_t max_concurrent_requests = 64;
 constexpr core::milliseconds request_timeout{1'500};
+constexpr int successful_status = 200;
 
 } // namespace
 
 status_collector::status_collector(boost::asio::io_context& context,
                                    std::vector<node_address> nodes,
+                                   fault_counters invalid_responses,
                                    handler done)
     : context_(context), nodes_(std::move(nodes)),
+      invalid_responses_(std::move(invalid_responses)),
       completion_handler_(std::move(done)), statuses_(nodes_.size())
 {
     for (std::size_t i = 0; i < nodes_.size(); ++i)
@@ -63,21 +66,45 @@
             connection->exchange(
                 http::serialize(message), std::move(options),
                 [self, index, connection](http::exchange_result const& it) {
-                    if (it)
-                    {
-                        self->on_response(index, it->body);
-                    }
+                    self->on_result(index, it);
                     connection->close();
                     self->on_request_ended();
                 });
         });
 }
 
-void status_collector::on_response(std::size_t index, std::string const& body)
+void status_collector::on_result(std::size_t index,
+                                 http::exchange_result const& it)
 {
-    if (auto it = parse_status(body))
+    if (!it)
     {
-        statuses_[index] = std::move(*it);
+        if (it.error().fault)
+        {
+            reject_response(index, *it.error().fault, it.error().detail);
+        }
+        return;
+    }
+    auto status = parse_status(it->body);
+    if (it->status != successful_status || !status)
+    {
+        reject_response(index, http::response_fault::body,
+                        "the response is not the status of a node");
+        return;
+    }
+    statuses_[index] = std::move(*status);
+}
+
+void status_collector::reject_response(std::size_t index,
+                                       http::response_fault fault,
+                                       std::string const& detail)
+{
+    invalid_responses_->record(fault);
+    if (core::admit_request_line(core::request_event::exceptional))
+    {
+        core::log_event(core::log_level::warning, "status_response_invalid",
+                        {{"node", statuses_[index].name},
+                         {"fault", to_string(fault)},
+                         {"reason", detail}});
     }
 }
 
--- a/src/commands/tests/admin_commands_test.cpp
+++ b/src/commands/tests/admin_commands_test.cpp
@@ -6,6 +6,8 @@
 
 #include "commands/tests/fake_node.hpp"
 #include "commands/tests/run_command_line.hpp"
+#include "stand_ins/raw_worker.hpp"
+#include "stand_ins/response_samples.hpp"
 
 using namespace yuccafall::commands;
 using namespace yuccafall::commands::tests;
@@ -106,3 +108,36 @@
     auto const refused = run({"status", "--node=127.0.0.1:1"});
     REQUIRE(refused.code == exit_code::unavailable);
 }
+
+// Guards against a rollout script that continues because of a response that the
+// node has not sent.
+TEST_CASE("a malformed response of a node gives no result")
+{
+    using namespace yuccafall::stand_ins;
+    raw_worker node({yuccafall::core::ip_address("127.0.0.1"),
+                     yuccafall::core::port_number(0)});
+    auto const flag = "--node=" + yuccafall::core::to_string(node.local());
+    auto const content = response_content{"", where_body(true)};
+    auto const check_unavailable = [&] {
+        auto const it = run({"where", flag});
+        CHECK(it.code == exit_code::unavailable);
+        CHECK(it.out.empty());
+        CHECK(it.err.find("did not answer: ") != std::string::npos);
+    };
+    for (auto const& sample : make_broken_responses(content))
+    {
+        CAPTURE(sample.name);
+        node.set_reply({send_bytes{sample.bytes}, send_fin{}, await_close{}});
+        check_unavailable();
+    }
+    node.set_reply(
+        {send_bytes{"HTTP/1.1 200 OK\r\n\r\n" + content.body}, send_reset{}});
+    check_unavailable();
+    for (auto const& sample : make_sound_responses(content))
+    {
+        CAPTURE(sample.name);
+        node.set_reply({send_bytes{sample.bytes}, send_fin{}, await_close{}});
+        CHECK(run({"where", flag}).code ==
+              (sample.has_body ? exit_code::success : exit_code::unavailable));
+    }
+}
