Tests: Show what callers get for responses that are not used, and for early ones

A refusal that is not whole promises nothing, for each row of response_samples. A request that may run again goes to another worker, within the retry budget. A worker that responds before it has read an upload gets the rest of it, on the same connection, and then the next request.

--- a/stand_ins/broken_responses/tests/broken_responses_test.cpp
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -265,6 +265,84 @@
     CHECK(fleet.vault_worker->requests_on_used_connections() == 0);
 }
 
+// Guards against a request that is reported as not run, or sent again, because
+// of a refusal that is not whole.
+TEST_CASE("a malformed refusal promises nothing")
+{
+    broken_deployment fleet;
+    for (auto const& it : make_broken_responses(
+             {"Attempt-Id: {id}\r\nNot-Executed: 1\r\n", "full"}))
+    {
+        CAPTURE(it.name);
+        fleet.vault_worker->set_reply(
+            {read_body{}, send_bytes{it.bytes}, send_fin{}, await_close{}});
+        auto const id = fleet.next_id();
+        require_failure(fleet.send(front, make_upload(id, 10)),
+                        *fleet.vault_worker, id);
+    }
+}
+
+// A lookup may run again, so that its caller gets the response of another
+// worker. The retry budget of the deployment allows only a few.
+TEST_CASE(
+    "a request that may run again goes to another worker after a response "
+    "that is not used")
+{
+    broken_deployment fleet;
+    reply_step const part =
+        send_bytes{"HTTP/1.1 200 OK\r\n" + signed_fields + "\r\npart"};
+    reply_step const no_status =
+        send_bytes{"HTTP/1.1 000 Odd\r\n" + signed_fields + "\r\npart"};
+    reply_step const bad_name = send_bytes{"HTTP/1.1 200 OK\r\nX Y: z\r\n" +
+                                           signed_fields + "\r\nbody"};
+    for (auto const& steps : std::vector<reply>{{part, send_reset{}},
+                                                {no_status, send_fin{}},
+                                                {bad_name, send_fin{}}})
+    {
+        fleet.desk_worker->set_reply(steps);
+        std::string id;
+        raw_result it;
+        REQUIRE(deployment::poll_until([&] {
+            id = fleet.next_id();
+            auto lookup = deployment::request("/look/x", id, "POST");
+            lookup.body = std::string(long_upload, 'u');
+            it = fleet.send(front, std::move(lookup));
+            return fleet.desk_worker->arrivals(id) > 0;
+        }));
+        CHECK(fleet.desk_worker->arrivals(id) == 1);
+        CHECK(it.status() == "200");
+        CHECK(it.body() == "answer to " + id);
+    }
+}
+
+// A worker may respond before it has read an upload and read on afterwards. The
+// rest of the upload must reach it, and then the next request.
+TEST_CASE("a worker that responds early gets the rest of the upload")
+{
+    broken_deployment fleet;
+    auto const body = std::string("early");
+    for (auto const vm : {vault, front})
+    {
+        CAPTURE(vm);
+        fleet.vault_worker->set_reply(
+            {send_bytes{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
+                        signed_fields + "\r\n" + body},
+             pause_for{core::milliseconds(100)}, read_body{}});
+        for (int i = 0; i < 3; ++i)
+        {
+            auto const id = fleet.next_id();
+            auto upload = make_upload(id, long_upload);
+            auto const sent = upload.body;
+            auto const it = fleet.send(vm, std::move(upload));
+            CHECK(it.status() == "200");
+            CHECK(it.body() == body);
+            CHECK(deployment::poll_until(
+                [&] { return fleet.vault_worker->body_of(id) == sent; }));
+            CHECK(fleet.vault_worker->arrivals(id) == 1);
+        }
+    }
+}
+
 // A sound response is complete however its connection ends after it, also when
 // the worker has not read the upload and has reset the connection.
 TEST_CASE("a sound response reaches the caller, however its connection ends")
