--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -22,6 +22,8 @@
     workers, 0,
     "model: number of workers, with the demand in proportion; 0 keeps "
     "those of the pattern");
+DEFINE_bool(malformed_responses, false,
+            "Whether workers of the soak test malform their responses.");
 DEFINE_bool(extended, false,
             "soak: kept connections, SIGHUP, evacuations, and workers with a "
             "limit or that become cold");
@@ -43,7 +45,7 @@
         return yuccafall::bench::soak::report_soak(
             {FLAGS_seed, FLAGS_nodes,
              yuccafall::core::milliseconds(static_cast<long>(FLAGS_length_ms)),
-             FLAGS_extended});
+             FLAGS_extended, FLAGS_malformed_responses});
     }
     auto const& measures = yuccafall::bench::all_measures();
     auto const found =
@@ -58,7 +60,8 @@
                            "[--without=RULE] [--seeds=N] [--workers=N] "
                            "[--by_second]\n"
                            "       yuccafall_bench soak [--seed=N] [--nodes=N] "
-                           "[--length_ms=N] [--extended]\n");
+                           "[--length_ms=N] [--extended] "
+                           "[--malformed_responses]\n");
         for (auto const& it : measures)
         {
             fmt::print(stderr, "  {:14} {}\n", it.name, it.summary);
--- a/bench/soak/fault_injector.cpp
+++ b/bench/soak/fault_injector.cpp
@@ -41,7 +41,7 @@
     while (core::boot_clock::now() < injection_end)
     {
         auto const injected =
-            draw_fault(random_, deployment_->size(), options_->extended);
+            draw_fault(random_, deployment_->size(), *options_);
         auto const until = core::boot_clock::now() + min_fault_duration +
                            milliseconds(static_cast<long>(
                                random_.below(fault_duration_range_ms)));
--- a/bench/soak/faults.cpp
+++ b/bench/soak/faults.cpp
@@ -3,10 +3,16 @@
 
 namespace yuccafall::bench::soak {
 
-fault draw_fault(core::random_source& random, std::size_t vms, bool extended)
+fault draw_fault(core::random_source& random, std::size_t vms,
+                 soak_options const& options)
 {
     auto const vm = random.below(vms);
-    switch (random.below(extended ? 13 : 9))
+    // Drawn apart, so that the other options keep their sequences.
+    if (options.malformed_responses && random.below(4) == 0)
+    {
+        return worker_faulty{vm, stand_ins::worker_fault::malforms_responses};
+    }
+    switch (random.below(options.extended ? 13 : 9))
     {
     case 0:
         return node_killed{vm};
--- a/bench/soak/faults.hpp
+++ b/bench/soak/faults.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "bench/soak/soak.hpp"
 #include "core/random.hpp"
 #include "stand_ins/deployment.hpp"
 
@@ -42,8 +43,9 @@
 {};
 struct configuration_changed
 {};
-// The worker closes connections without a response (drops_responses) or adds a
-// content encoding to its responses (adds_content_encoding).
+// The worker closes connections without a response (drops_responses), adds a
+// content encoding to its responses (adds_content_encoding) or malforms them
+// (malforms_responses).
 struct worker_faulty
 {
     std::size_t vm;
@@ -85,9 +87,9 @@
                  worker_crashed, worker_draining, node_reloaded, worker_limited,
                  data_centre_evacuated, worker_cold>;
 
-// Draws a fault of a deployment with this number of VMs. The extended test has
-// additional faults.
-fault draw_fault(core::random_source& random, std::size_t vms, bool extended);
+// Draws a fault of a deployment with this number of VMs.
+fault draw_fault(core::random_source& random, std::size_t vms,
+                 soak_options const& options);
 
 } // namespace yuccafall::bench::soak
 
--- a/bench/soak/soak.hpp
+++ b/bench/soak/soak.hpp
@@ -23,6 +23,9 @@
     // settings again, workers that state a limit or become cold, and
     // evacuations. The sequence of faults of a seed depends on it.
     bool extended = false;
+    // Adds workers whose responses are malformed. The sequence of faults of a
+    // seed depends on it.
+    bool malformed_responses = false;
 };
 
 struct soak_result
--- a/bench/soak/tests/soak_test.cpp
+++ b/bench/soak/tests/soak_test.cpp
@@ -42,3 +42,22 @@
         REQUIRE(it.answered > 0);
     }
 }
+
+// Guards against a malformed response that reaches a caller, or that makes a
+// node send a request again, while other parts fail as well.
+TEST_CASE("guarantees hold while workers malform their responses")
+{
+    for (std::uint64_t seed = 1; seed <= 2; ++seed)
+    {
+        soak_options options;
+        options.seed = seed;
+        options.nodes = 5;
+        options.length = core::milliseconds(8'000);
+        options.extended = true;
+        options.malformed_responses = true;
+        auto const it = run_soak(options);
+        CAPTURE(seed, it.broken);
+        REQUIRE(it.broken.empty());
+        REQUIRE(it.answered > 0);
+    }
+}
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -297,7 +297,36 @@
     {
         it.headers.push_back({"Content-Encoding", "broken"});
     }
+    if (fault_ == worker_fault::malforms_responses)
+    {
+        malform(it);
+    }
     caller->send_response(it);
 }
 
+void fake_worker::malform(http::response& it)
+{
+    switch (malformed_responses_++ % 6)
+    {
+    case 0:
+        it.status = 0;
+        return;
+    case 1:
+        it.status = 600;
+        return;
+    case 2:
+        it.headers.push_back({"X Y", "z"});
+        return;
+    case 3:
+        it.headers.push_back({"X", "a\r\n b"});
+        return;
+    case 4:
+        it.headers.push_back({"Transfer-Encoding", "gzip"});
+        return;
+    default:
+        it.headers.push_back({"Content-Length", "1"});
+        return;
+    }
+}
+
 } // namespace yuccafall::stand_ins
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -46,6 +46,9 @@
     adds_content_encoding,
     // The worker rejects requests although it has free slots.
     rejects_requests,
+    // The worker runs requests, but malforms its responses, by turns in their
+    // status, the name of a field, a folded value, the coding and the length.
+    malforms_responses,
     // The worker crashes when a request arrives whose target contains "crash".
     crashes,
 };
@@ -119,6 +122,7 @@
     bool is_cold() const { return core::boot_clock::now() < cold_until_; }
     void record_cold_arrival();
     http::response make_health_response();
+    void malform(http::response& it);
     void finish_request(connection const& caller, std::string const& id,
                         std::size_t body_size);
     // The id is that of the request that is rejected, or empty.
@@ -138,6 +142,7 @@
     std::string rate_limit_;
     bool leaving_ = false;
     worker_counts counts_;
+    std::size_t malformed_responses_ = 0;
     std::size_t running_ = 0;
     core::instant cold_until_{};
     // When requests arrived in the last second, while the worker was cold.
