HTTP client: Let one function end a failed exchange

reject_response() and fail_exchange() did the same with and without a fault. A comment of the parser stood twice.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -305,24 +305,21 @@
 
 void client_connection::reject_response(invalid_response const& why)
 {
-    unusable_ = true;
-    reading_stopped_ = true;
-    error_code ignored;
-    socket_.close(ignored);
-    finish_exchange(tl::unexpected(
-        exchange_failure{why.fault == response_fault::body_too_large
-                             ? failure_cause::response_too_large
-                             : failure_cause::invalid_response,
-                         why.detail, why.fault}));
+    fail_exchange(why.fault == response_fault::body_too_large
+                      ? failure_cause::response_too_large
+                      : failure_cause::invalid_response,
+                  why.detail, why.fault);
 }
 
-void client_connection::fail_exchange(failure_cause cause, std::string detail)
+void client_connection::fail_exchange(failure_cause cause, std::string detail,
+                                      std::optional<response_fault> fault)
 {
     unusable_ = true;
     reading_stopped_ = true;
     error_code ignored;
     socket_.close(ignored);
-    finish_exchange(tl::unexpected(exchange_failure{cause, std::move(detail)}));
+    finish_exchange(
+        tl::unexpected(exchange_failure{cause, std::move(detail), fault}));
 }
 
 void client_connection::finish_exchange(exchange_result result)
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -107,12 +107,14 @@
     void read();
     void on_data_received(std::size_t n);
     void on_read_error(boost::system::error_code const& ec);
+    // Completes or rejects the response after the last read.
     void end_response(boost::system::error_code const& ec);
     // Returns whether the end of the stream is a FIN of the server rather than
     // a failure of the connection that a write has reported.
     bool ended_by_server() const;
     void finish_exchange(exchange_result result);
-    void fail_exchange(failure_cause cause, std::string detail);
+    void fail_exchange(failure_cause cause, std::string detail,
+                       std::optional<response_fault> fault = std::nullopt);
     void reject_response(invalid_response const& why);
     void start_timeout(core::milliseconds timeout);
     // Reads the next part of the response, now or when there is memory for it.
@@ -150,6 +152,8 @@
     // Why the request of this exchange could not be written, if so.
     boost::system::error_code write_error_;
     bool read_pending_ = false;
+    // No further read is started. The rest of a response is read although the
+    // connection is unusable because its request was not written.
     // Invariant: the flag is never cleared once it is set.
     bool reading_stopped_ = false;
     // Invariant: the flag is never cleared once it is set. The connection is
--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -179,8 +179,6 @@
     return bytes.size();
 }
 
-// Called when the whole line of the chunk has arrived, and for the last chunk
-// when its trailer has arrived as well.
 // Called when the whole line of the chunk has arrived, and for the last chunk
 // when its trailer has arrived as well.
 void response_parser::on_chunk_header_impl(std::uint64_t size,
