--- a/src/http/tests/response_end_test.cpp
+++ b/src/http/tests/response_end_test.cpp
@@ -33,8 +33,8 @@
 
 std::string request_of(std::size_t body_size)
 {
-    return "POST / HTTP/1.1\r\nAttempt-Id: q\r\nContent-Length: " +
-           std::to_string(body_size) + "\r\n\r\n" + std::string(body_size, 'u');
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_size) +
+           "\r\n\r\n" + std::string(body_size, 'u');
 }
 
 // A client connection and the loop that runs it.
