HTTP client: Name the fault if only responses to other requests came

What operators saw: a connection that ended after responses to other requests looked like one on which nothing had come.

Change: the failure keeps its cause, `closed_without_response`, by which a crash of the worker is noticed, and has the fault `other_request`.

Evidence: "only responses to other requests are none" failed before for a connection that stays open until the worker ends it.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -278,7 +278,10 @@
     auto const& reason = ec == asio::error::eof && !is_end ? write_error_ : ec;
     if (!reader_->started())
     {
-        fail_exchange(failure_cause::closed_without_response, reason.message());
+        fail_exchange(failure_cause::closed_without_response, reason.message(),
+                      mismatched_responses_ > 0
+                          ? std::optional(response_fault::other_request)
+                          : std::nullopt);
         return;
     }
     if (!is_end)
