Metadata: Do not take a success for a refusal

What callers could see: a worker answered with 200 and with the field that states "not run". The caller got 503, which promises that the request has not run (REFUSED), although the status says that it has.

Cause: the statement alone decided.

Change: a statement "not run" beside a success contradicts itself and promises nothing (fault `field`). A refusal with any other status is taken as before.

--- a/src/metadata/response_check.cpp
+++ b/src/metadata/response_check.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+bool is_success(http::response const& it)
+{
+    return it.status < 300;
+}
+
 // Returns true if the status code means that the worker did not run the
 // request. A worker's response with such a code counts as a failure unless it
 // also states in its metadata that the request did not run, since the code may
@@ -21,6 +26,14 @@
 
 } // namespace
 
+bool is_refusal(http::response const& response,
+                response_metadata const& metadata)
+{
+    return !metadata.is_contradictory &&
+           ((metadata.not_run && !is_success(response)) ||
+            metadata.wrong_worker);
+}
+
 std::optional<invalid_response> find_fault(http::response const& response,
                                            response_metadata const& metadata)
 {
@@ -41,7 +54,14 @@
             response_fault::content_coding,
             "the worker's response has an unrequested content encoding"};
     }
-    if (response.status < 300 && !metadata.has_signature)
+    if (is_success(response) && metadata.not_run)
+    {
+        return invalid_response{
+            response_fault::field,
+            "the worker states that it did not run a request that it answers "
+            "with success"};
+    }
+    if (is_success(response) && !metadata.has_signature)
     {
         return invalid_response{
             response_fault::no_signature,
--- a/src/metadata/response_check.hpp
+++ b/src/metadata/response_check.hpp
@@ -10,8 +10,13 @@
 
 namespace yuccafall::metadata {
 
-// Returns why the response may not be passed on, or nothing. The response does
-// not state that the request did not run.
+// Returns whether the worker states that it did not run the request. A
+// statement that contradicts itself or the status is none.
+bool is_refusal(http::response const& response,
+                response_metadata const& metadata);
+
+// Returns why a response that is not a refusal may not be passed on, or
+// nothing.
 std::optional<http::invalid_response>
 find_fault(http::response const& response, response_metadata const& metadata);
 
--- a/src/upstream/worker_outcome.cpp
+++ b/src/upstream/worker_outcome.cpp
@@ -12,8 +12,7 @@
                                  metadata::header_codec const& header_codec)
 {
     auto metadata = header_codec.read_response_metadata(response);
-    if (!metadata.is_contradictory &&
-        (metadata.not_run || metadata.wrong_worker))
+    if (metadata::is_refusal(response, metadata))
     {
         return worker_rejected{std::move(metadata)};
     }
