Ingress: Check a response after what concerns its connection is removed

What callers could see: a worker named its signature in the field Connection.

Cause: the response was checked first.

Change: the caller's node removes the fields of the connection before it checks the response.

--- a/src/ingress/call.cpp
+++ b/src/ingress/call.cpp
@@ -290,6 +290,9 @@
     record_leaving(it.worker_leaves);
     ingress_->upstream_scores_.record_report(upstream_->id, it.load,
                                              core::boot_clock::now());
+    // What concerns the worker's connection may name any field, also the
+    // signature, and is not sent on.
+    http::strip_connection_headers(it.http_response.headers);
     // The worker's node makes the same check, unless it has an older version.
     if (auto const fault = metadata::find_fault(
             it.http_response,
@@ -484,7 +487,6 @@
     ingress_->counters_->latency.observe(took);
     log_response(terms_, history_, *upstream_,
                  {response.status, took, run_time});
-    http::strip_connection_headers(response.headers);
     response.keep_alive = true;
     response_memory_.release();
     caller_connection_->send_response(std::move(response));
--- a/stand_ins/broken_responses/tests/broken_responses_test.cpp
+++ b/stand_ins/broken_responses/tests/broken_responses_test.cpp
@@ -22,9 +22,8 @@
 constexpr std::size_t front = 0;
 // The raw worker of this VM runs uploads and bookings.
 constexpr std::size_t vault = 1;
-// One of the two workers that run lookups is a raw one.
+// One of the two workers that run lookups is a raw one, that of this VM.
 constexpr std::size_t broken_desk = 2;
-constexpr std::size_t sound_desk = 3;
 
 // The time limit only ends a test that fails.
 constexpr int route_timeout_ms = 20'000;
@@ -54,6 +53,7 @@
         auto const version =
             publish({{"/upload/", "upload", "vault", route_timeout_ms},
                      {"/book/", "non_idempotent", "vault", route_timeout_ms},
+                     {"/brief/", "non_idempotent", "vault", 500},
                      {"/look/", "idempotent", "desk", route_timeout_ms}});
         start_nodes();
         for (std::size_t i = 0; i < size(); ++i)
@@ -219,14 +219,14 @@
                 for (bool const reads_request : {false, true})
                 {
                     CAPTURE(vm, fields, size, reads_request);
-                    auto const chunk_start =
-                        fields.find("chunked") != std::string::npos ? "f000\r\n"
-                                                                    : "";
-                    reply steps{send_bytes{"HTTP/1.1 200 OK\r\n" +
-                                           signed_fields + fields + "\r\n" +
-                                           chunk_start +
-                                           std::string(size, 'p')},
-                                send_reset{}};
+                    bool const chunked =
+                        fields.find("chunked") != std::string::npos;
+                    reply steps{
+                        send_bytes{fmt::format(
+                            "HTTP/1.1 200 OK\r\n{}{}\r\n{}{}", signed_fields,
+                            fields, chunked ? "f000\r\n" : "",
+                            std::string(size, 'p'))},
+                        send_reset{}};
                     if (reads_request)
                     {
                         steps.insert(steps.begin(), read_body{});
@@ -265,6 +265,51 @@
     CHECK(fleet.vault_worker->requests_on_used_connections() == 0);
 }
 
+// Guards against a success that loses its signature on the way.
+TEST_CASE("a signature that the worker names as a field of its connection is "
+          "none")
+{
+    broken_deployment fleet;
+    for (auto const vm : {vault, front})
+    {
+        CAPTURE(vm);
+        fleet.vault_worker->set_reply(
+            {read_body{},
+             send_bytes{fmt::format(
+                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                 "Connection: close, Response-Signature\r\n{}\r\nbody",
+                 signed_fields)},
+             send_fin{}, await_close{}});
+        auto const id = fleet.next_id();
+        require_failure(fleet.send(vm, make_upload(id, 10)),
+                        *fleet.vault_worker, id);
+    }
+}
+
+TEST_CASE("a response that does not go on ends at the deadline of its request")
+{
+    broken_deployment fleet;
+    for (auto const vm : {vault, front})
+    {
+        for (auto const* fields :
+             {"", "Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n"})
+        {
+            CAPTURE(vm, fields);
+            fleet.vault_worker->set_reply(
+                {read_body{},
+                 send_bytes{fmt::format("HTTP/1.1 200 OK\r\n{}{}\r\n5\r\n",
+                                        signed_fields, fields)},
+                 await_close{}});
+            auto const id = fleet.next_id();
+            auto const it =
+                fleet.send(vm, deployment::request("/brief/x", id, "POST"));
+            CHECK(it.status() == "504");
+            CHECK(it.body().empty());
+            CHECK(fleet.vault_worker->arrivals(id) == 1);
+        }
+    }
+}
+
 // Guards against a request that is reported as not run, or sent again, because
 // of a refusal that is not whole.
 TEST_CASE("a malformed refusal promises nothing")
@@ -325,8 +370,9 @@
     {
         CAPTURE(vm);
         fleet.vault_worker->set_reply(
-            {send_bytes{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
-                        signed_fields + "\r\n" + body},
+            {send_bytes{
+                 fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n{}\r\n{}",
+                             signed_fields, body)},
              pause_for{core::milliseconds(100)}, read_body{}});
         for (int i = 0; i < 3; ++i)
         {
@@ -412,7 +458,8 @@
             CAPTURE(line);
             fleet.vault_worker->set_reply(
                 {read_body{},
-                 send_bytes{head + signature + body + line + "\r\n"},
+                 send_bytes{
+                     fmt::format("{}{}{}{}\r\n", head, signature, body, line)},
                  send_fin{}, await_close{}});
             auto const id = fleet.next_id();
             auto const it = fleet.send(vm, make_upload(id, 10));
@@ -422,7 +469,8 @@
             CHECK(fleet.vault_worker->arrivals(id) == 1);
         }
         fleet.vault_worker->set_reply(
-            {read_body{}, send_bytes{head + body + signature + "\r\n"},
+            {read_body{},
+             send_bytes{fmt::format("{}{}{}\r\n", head, body, signature)},
              send_fin{}, await_close{}});
         auto const id = fleet.next_id();
         require_failure(fleet.send(vm, make_upload(id, 10)),
--- a/stand_ins/response_samples.cpp
+++ b/stand_ins/response_samples.cpp
@@ -114,6 +114,9 @@
                      head + b.chunked(b.chunks() + "0\r\n\r\n").substr(17),
                      "status"}});
     }
+    out.push_back({"status line that ends with a line feed alone",
+                   "HTTP/1.1 200 OK\n" + b.length() + "\r\n" + b.body(),
+                   "status_line"});
     std::string interim;
     for (int i = 0; i < 20; ++i)
     {
