--- a/src/http/field_syntax.hpp
+++ b/src/http/field_syntax.hpp
@@ -9,7 +9,7 @@
 // Returns whether the text is a token, as names of fields are.
 bool is_token(std::string_view text);
 
-// Returns whether the text contains no control byte. The tab is none.
+// Returns whether the text contains no control byte other than the tab.
 bool is_free_of_control_bytes(std::string_view text);
 
 } // namespace yuccafall::http
