Soak: Count a limit as stated only by a response that a node can pass on

Cause, by a trace: the worker had first stated the limit in a response to a health request, 5.2 s before its first response to a request that was not malformed; the node kept to the limit from that one on. The platform's rule counts the machines that have passed on an answer with the statement, so that the case is allowed.

Change: the fake worker records a limit as stated in responses to requests and in refusals, but not in health responses and not in malformed ones.

--- a/bench/soak/guarantee_checks.cpp
+++ b/bench/soak/guarantee_checks.cpp
@@ -141,6 +141,7 @@
                 fmt::format(
                     "worker {} stated {} a second and got {} in four seconds",
                     vm, it.per_second, last - first + 1));
+            result_->logs.push_back(deployment_->log(vm));
             return;
         }
     }
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -100,6 +100,13 @@
     if (!rate_limit_.empty())
     {
         to.headers.push_back({"Server-Limit", rate_limit_});
+    }
+}
+
+void fake_worker::record_limit_stated()
+{
+    if (!rate_limit_.empty())
+    {
         auto& stated_at = counts_.limits.back().stated_at;
         stated_at = stated_at.value_or(core::boot_clock::now());
     }
@@ -180,6 +187,7 @@
         it.headers.push_back({"Attempt-Id", id});
     }
     add_statements(it);
+    record_limit_stated();
     return it;
 }
 
@@ -301,6 +309,10 @@
     {
         malform(it);
     }
+    else
+    {
+        record_limit_stated();
+    }
     caller->send_response(it);
 }
 
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -57,8 +57,8 @@
 struct limit_episode
 {
     double per_second = 0;
-    // When the first response stated it. Empty if none has: the worker may get
-    // no requests, or drop its responses.
+    // When the first response that a node can pass on stated it. Empty if none
+    // has: the worker may get no requests, or drop its responses.
     std::optional<core::instant> stated_at;
     // When each request arrived that was not meant for another worker.
     std::vector<core::instant> arrivals;
@@ -128,6 +128,9 @@
     // The id is that of the request that is rejected, or empty.
     http::response make_rejection(int status, std::string const& id = {});
     void add_statements(http::response& to);
+    // Records that a response states the limit which a node can pass on. One to
+    // a health request, or a malformed one, is not passed on.
+    void record_limit_stated();
     // Returns the numbers of running requests, waiting requests and slots, and
     // the service time in percent of the usual one.
     std::string load_header() const;
